Read a watch as a stream, end a silent one in time, pass over old lists

Seen: reading the code and forcing each case over sockets. follow() split the watch by lines, so an indented list was malformed at its first line and the watch began anew for ever. take() let the answer to a call, or a late line, set version and table back, and a draining backend got work again. resume() held the still open watch of the old address for the wanted one after SIGHUP, and the new address was asked once and never again. watchSilence was 5 s: two silent watches in a row (the second from its start) brought the list 10 s after the first fell silent, against 6 s and the grace for drains. It is 2.5 s now, since an empty line is due every 2 s; the wait between watches grew to 8 connect time-outs and is now bounded by a quarter of that grace. Where discovery must be asked, calls wait in turn and keep their 5 s.

The "no JSON" case of TestMalformedLists and a line of TestUnaskedWatch held half a list for malformed at the end of its line. It may go on in the next; both now send what no next line mends, and a list that stops half way, by silence or by an end, has a test of its own.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -104,8 +104,12 @@
 	l.back = &backends{pool: pool, table: table, reports: c.Settings.Reports,
 		probing: 2 * c.Settings.ConnectTimeout, stall: max(2*c.Settings.ConnectTimeout, 100*time.Millisecond), log: log}
 	l.disc = &discovery{addr: c.Discovery, client: newListClient(), table: table,
-		stale: pool.retire, post: l.post, silence: watchSilence, event: lister(c, clock), log: log,
-		unasked: !c.Settings.Subscribe, unit: max(c.Settings.ConnectTimeout, 10*time.Millisecond), rng: rand.New(rand.NewPCG(c.Seed, 1))}
+		stale: pool.retire, post: l.post, silence: watchSilence, calling: callTime, event: lister(c, clock), log: log,
+		unasked: !c.Settings.Subscribe, unit: max(c.Settings.ConnectTimeout, 10*time.Millisecond),
+		longest: max(c.Settings.DrainGrace/4, 10*time.Millisecond), rng: rand.New(rand.NewPCG(c.Seed, 1))}
+	if l.disc.unasked { // it comes from this machine, at once
+		l.disc.calling = watchSilence
+	}
 	known := c.Known
 	known.Full = true
 	l.disc.version = known.Version
