Stop without losing what crosses it: hear it from the start, close what rests

At fault: - main.go asked for SIGTERM only after the configuration was read and the listener open: until then it killed. - drainFor was 3.2 s, which fits deadlines of 3 s alone: where the longest is 1.2 s the kill comes after 1.9 s, with the last answers unsent. It follows the settings now, and ends 0.2 s before the kill. - front.go told a client to go only if its request came after the stop; what was under way kept its connection. - http.Server.Shutdown takes a connection for idle until a whole head was read, and closed it under the request, by then with the listener closed. Connections at rest are now closed as the stop comes, while a client whose request crosses that finds the listener open; whether one rests is decided under the lock that a read takes first. - clients.room chose a connection under the lock and closed it after: a request read in between was served and sent again by its client. clientConn.Read now takes the connection off the list before it takes a byte, or takes none.

Fails without the mend: TestSignalsRightAfterTheStart (ends by the signal), TestSignalsDuringADrain, TestStopClosesKeptConnections and TestStopAtBackoff (connection kept); TestNoCloseUnderARequest and TestStopEndsBeforeTheKill are on code that was not there. 10 runs of each under the race detector pass.

--- a/cmd/violetlatch/main.go
+++ b/cmd/violetlatch/main.go
@@ -23,7 +23,9 @@
 }
 
 func run() error {
-	// From the first moment on: unheard, the signal would end the process.
+	// From the first moment on: unheard, either signal would end the process.
+	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer release()
 	again := make(chan os.Signal, 1) // signals that come while one is worked on make one more
 	signal.Notify(again, syscall.SIGHUP)
 	runtime.GOMAXPROCS(1) // an agent has one core, which it may share
@@ -44,8 +46,6 @@
 	if err != nil {
 		return err
 	}
-	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer release()
 	go func() {
 		for range again {
 			if c, err := agent.LoadConfig(path); err != nil {
--- a/cmd/violetlatch/main_test.go
+++ b/cmd/violetlatch/main_test.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -85,3 +89,127 @@
 		t.Error("an address was watched twice")
 	}
 }
+
+// TestMain lets a test run the agent as a process of its own, for signals that it would not survive.
+func TestMain(m *testing.M) {
+	if os.Getenv("VIOLETLATCH_TEST_PROCESS") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// process starts the agent and hands out its log by lines.
+func process(t *testing.T, config string) (cmd *exec.Cmd, log *bufio.Scanner) {
+	t.Helper()
+	cmd = exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "VIOLETLATCH_TEST_PROCESS=1", "GW_CONFIG="+config)
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	return cmd, bufio.NewScanner(out)
+}
+
+// line waits for a line of a log that holds a text.
+func line(t *testing.T, log *bufio.Scanner, text string) string {
+	t.Helper()
+	for log.Scan() {
+		if strings.Contains(log.Text(), text) {
+			return log.Text()
+		}
+	}
+	t.Fatalf("the log ends without %q", text)
+	return ""
+}
+
+const settings = `"settings":{"Balancers":1,"Me":0,"TickMs":1,"Contract":{"ColdFrom":1},"PolicyLimits":{"ConnectTimeoutMs":1000},
+ "Profiles":[{"Name":"a","AimMs":100,"DeadlineMs":%d,"Worth":1,"Semantics":"once"}]}}`
+
+// Guards against a stop that comes before the agent serves, when it would end as if killed. A configuration that
+// has not come whole yet holds the start where the signals come.
+func TestSignalsRightAfterTheStart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd, _ := process(t, path)
+	w, err := os.OpenFile(path, os.O_WRONLY, 0) // once it reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	cmd.Process.Signal(syscall.SIGTERM)
+	fmt.Fprintf(w, `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",`+settings, 300)
+	w.Close()
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("stopped at its start, it ends with %v", err)
+	}
+}
+
+// Guards against signals that cross in a drain: a new configuration, good or bad, and a second stop change nothing
+// for what is under way.
+func TestSignalsDuringADrain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	first, _ := discovery(t)
+	second, watched := discovery(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	config := func(addr string) string {
+		return fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1","known":{"version":9,"full":true,"servers":[
+		 {"id":"s0","addr":%q,"zone":"","kind":"","cell":1,"state":"SERVING","weight":1,"started_ms":0}]},`+settings,
+			addr, l.Addr().String(), 20000)
+	}
+	write(config(first))
+	cmd, log := process(t, path)
+	_, addr, _ := strings.Cut(line(t, log, "msg=serving"), "listen=")
+	client, err := net.Dial("tcp", strings.TrimSpace(addr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	client.SetDeadline(time.Now().Add(long))
+	io.WriteString(client, "POST /a HTTP/1.1\r\nHost: x\r\nX-Call-Id: 00000000000000a1\r\nX-Budget-Ms: 15000\r\n\r\n")
+	server, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	line(t, log, "msg=draining")
+	write("{")
+	cmd.Process.Signal(syscall.SIGHUP)
+	line(t, log, "the old configuration stays")
+	write(config(second))
+	cmd.Process.Signal(syscall.SIGHUP)
+	expect(t, watched, "follow=1")
+	cmd.Process.Signal(syscall.SIGTERM)
+	io.WriteString(server, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("status %d, close %v", resp.StatusCode, resp.Close)
+	}
+	for log.Scan() {
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("it ends with %v", err)
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -14,6 +13,9 @@
 // what waits in a closed listener's queue is lost.
 const acceptFor = 500 * time.Millisecond
 
+// lastWrite is the time for the last answers of a stop to be written.
+const lastWrite = 100 * time.Millisecond
+
 const (
 	// headTime is how long a request's head may take to come, and the first one on a new connection.
 	headTime = 2500 * time.Millisecond
@@ -24,11 +26,11 @@
 
 // Agent is one agent: a listener for the application, the loop, and its connections.
 type Agent struct {
-	loop     *Loop
-	front    *front
-	server   *http.Server
-	listener net.Listener
-	log      *slog.Logger
+	loop    *Loop
+	front   *front
+	server  *http.Server
+	clients *clients
+	log     *slog.Logger
 
 	acceptFor time.Duration // see the constant
 }
@@ -44,7 +46,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	conns := newClients(listener, c.clientConns())
-	a := &Agent{loop: loop, front: newFront(c, loop), listener: conns, log: log, acceptFor: acceptFor}
+	a := &Agent{loop: loop, front: newFront(c, loop), clients: conns, log: log, acceptFor: acceptFor}
 	a.front.crowded = conns.crowded
 	a.server = &http.Server{Handler: a.front, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, ConnState: conns.note,
 		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
@@ -52,7 +54,7 @@
 }
 
 // Addr is where the agent listens.
-func (a *Agent) Addr() net.Addr { return a.listener.Addr() }
+func (a *Agent) Addr() net.Addr { return a.clients.Addr() }
 
 // Reload takes over from a new configuration what may change while the agent runs: the address of
 // discovery. All else waits for the next start.
@@ -67,7 +69,7 @@
 	defer cancel()
 	go a.loop.Run(ctx)
 	failed := make(chan error, 1)
-	go func() { failed <- a.server.Serve(a.listener) }()
+	go func() { failed <- a.server.Serve(a.clients) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving: %w", err)
@@ -76,16 +78,22 @@
 	a.log.Info("draining")
 	a.front.draining.Store(true)
 	a.loop.post(drain{})
+	// At once, while a request that crosses the close still finds the listener open on a new connection.
+	a.clients.drain()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving: %w", err)
 	case <-time.After(a.acceptFor):
 	}
-	bound, done := context.WithTimeout(ctx, drainFor-a.acceptFor+100*time.Millisecond)
-	defer done()
-	if err := a.server.Shutdown(bound); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	if err := a.clients.Close(); err != nil {
 		return fmt.Errorf("stopping: %w", err)
 	}
+	// No http.Server.Shutdown: that takes a connection for idle until it has read a whole head, and would close it
+	// under the request.
+	a.clients.drainAll()
+	bound, done := context.WithTimeout(ctx, drainFor(a.loop.s)-a.acceptFor+lastWrite)
+	defer done()
+	a.clients.empty(bound)
 	a.log.Info("stopped")
 	return a.server.Close()
 }
--- a/internal/agent/clients.go
+++ b/internal/agent/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -26,6 +27,7 @@
 
 	mu    sync.Mutex
 	open  int
+	over  bool          // draining: none stays without an open request
 	idle  *list.List    // of *clientConn without an open request, the longest idle first
 	left  chan struct{} // holds one when a connection has ended
 	ended chan struct{} // closed by Close
@@ -112,16 +114,58 @@
 			l.idle.Remove(e) // a request has come that is not read yet
 		} else {
 			victim = c
+			c.leave()
 		}
 	}
 	l.mu.Unlock()
 	if victim == nil {
 		return max(wait, time.Millisecond), false
 	}
-	victim.Close()
+	victim.shut()
 	return 0, true
 }
 
+// drain closes the connections that are without an open request, and from now on each as its answer is out. Those
+// that have not said a word yet stay: who connects now is about to ask.
+func (l *clients) drain() { l.rid(func(c *clientConn) bool { return c.spoke }) }
+
+// drainAll closes them all.
+func (l *clients) drainAll() { l.rid(func(*clientConn) bool { return true }) }
+
+func (l *clients) rid(of func(*clientConn) bool) {
+	l.mu.Lock()
+	l.over = true
+	var gone []*clientConn
+	for e, next := l.idle.Front(), (*list.Element)(nil); e != nil; e = next {
+		next = e.Next()
+		if c := e.Value.(*clientConn); of(c) && !pending(c.Conn) {
+			c.leave()
+			gone = append(gone, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range gone {
+		c.shut()
+	}
+}
+
+// empty waits until no connection is open.
+func (l *clients) empty(ctx context.Context) {
+	for {
+		l.mu.Lock()
+		open := l.open
+		l.mu.Unlock()
+		if open == 0 {
+			return
+		}
+		select {
+		case <-l.left:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Close ends the listener, and a wait for room.
 func (l *clients) Close() error {
 	l.once.Do(func() { close(l.ended) })
@@ -135,13 +179,20 @@
 		return
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	switch s {
 	case http.StateNew, http.StateIdle:
 		c.rest()
 	case http.StateActive:
 		c.work()
 	}
+	end := l.over && s == http.StateIdle && !c.gone && !pending(c.Conn) // answered as the drain began
+	if end {
+		c.leave()
+	}
+	l.mu.Unlock()
+	if end {
+		c.shut()
+	}
 }
 
 // rest and work keep the list. The caller holds of.mu.
@@ -160,34 +211,65 @@
 	}
 }
 
+// leave takes the connection out of use: nothing more is read of it. The caller holds of.mu and calls shut next,
+// if it was the first.
+func (c *clientConn) leave() (first bool) {
+	first = !c.gone
+	c.work()
+	c.gone = true
+	return first
+}
+
+// shut closes a connection that is out of use.
+func (c *clientConn) shut() error {
+	err := c.Conn.Close()
+	l := c.of
+	l.mu.Lock()
+	l.open-- // not before: the descriptor is free only now
+	l.mu.Unlock()
+	select {
+	case l.left <- struct{}{}:
+	default:
+	}
+	return err
+}
+
+// Read takes an idle connection off the list before it reads any of its bytes. Guards against closing one to make
+// room, or to drain, whose request has been read and is no longer to be seen waiting.
 func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.of.mu.Lock()
-		c.work()
-		c.of.mu.Unlock()
+	if err := c.begin(); err != nil {
+		return 0, err
 	}
-	return n, err
+	return c.Conn.Read(p)
 }
 
-func (c *clientConn) Close() error {
+func (c *clientConn) begin() error {
 	l := c.of
 	l.mu.Lock()
-	first := !c.gone
-	if first {
-		c.work()
-		c.gone = true
-	}
+	idle := c.place != nil
 	l.mu.Unlock()
-	err := c.Conn.Close()
-	if first { // not before: the descriptor is free only now
-		l.mu.Lock()
-		l.open--
-		l.mu.Unlock()
-		select {
-		case l.left <- struct{}{}:
-		default:
+	if idle {
+		if err := await(c.Conn); err != nil {
+			return err
 		}
 	}
-	return err
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.gone {
+		return net.ErrClosed
+	}
+	if idle {
+		c.work()
+	}
+	return nil
+}
+
+func (c *clientConn) Close() error {
+	c.of.mu.Lock()
+	first := c.leave()
+	c.of.mu.Unlock()
+	if !first {
+		return c.Conn.Close()
+	}
+	return c.shut()
 }
--- a/internal/agent/clients_test.go
+++ b/internal/agent/clients_test.go
@@ -41,7 +41,7 @@
 
 // impatient has an agent make room at once.
 func impatient(a *Agent) {
-	conns := a.listener.(*clients)
+	conns := a.clients
 	conns.rest, conns.mute = time.Millisecond, time.Millisecond
 }
 
@@ -79,7 +79,7 @@
 	first := dialRaw(t, a, post(id, ""))
 	receive(t, p.got)
 	second := dialRaw(t, a, post(id[:15]+"2", "")) // waits in the system's queue
-	if wait, ok := a.listener.(*clients).room(time.Now().Add(time.Hour)); ok {
+	if wait, ok := a.clients.room(time.Now().Add(time.Hour)); ok {
 		t.Errorf("room was made of an open request (%v)", wait)
 	}
 	close(gate)
@@ -163,7 +163,7 @@
 	c := config(t, newLists(t).addr, entry("s0", p.addr(), "SERVING"))
 	c.Sockets = 8 // 4 for clients
 	a, _ := startWith(t, c, func(a *Agent) {
-		a.listener.(*clients).rest = time.Hour
+		a.clients.rest = time.Hour
 		a.server.IdleTimeout = time.Hour
 	})
 	for i := range 6 {
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -41,9 +41,6 @@
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if f.draining.Load() {
-		w.Header().Set("Connection", "close") // it stops soon; the client's next goes to a new process
-	}
 	if r.URL.Path == "/healthz" {
 		// Whoever asks for this asks once; seen in hundreds, each keeping its connection for good.
 		w.Header().Set("Connection", "close")
@@ -77,7 +74,7 @@
 	f.loop.post(arrival{r: req, event: event})
 	select {
 	case a := <-req.answer:
-		if f.crowded() {
+		if f.draining.Load() || f.crowded() { // it stops soon: the client's next goes to a new process
 			w.Header().Set("Connection", "close")
 		}
 		write(w, a)
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -19,11 +19,22 @@
 	// netMargin before it the safety net answers. So the last byte is written in time.
 	cutMargin = 20 * time.Millisecond
 	netMargin = 5 * time.Millisecond
-	// drainFor after a stop was asked for, all that is still open is answered: the process may be
-	// killed 3.7 s after.
-	drainFor = 3200 * time.Millisecond
+	// After a stop was asked for, the process may be killed as soon as the longest deadline, which counts as
+	// longestWait at most, and killAfter are over. All is answered stopMargin before that.
+	longestWait = 3 * time.Second
+	killAfter   = 700 * time.Millisecond
+	stopMargin  = 300 * time.Millisecond
 )
 
+// drainFor is how long after a stop was asked for all that is still open is answered.
+func drainFor(s saltmast.Settings) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range s.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, longestWait) + killAfter - stopMargin
+}
+
 // decider is the decision module; in service a *saltmast.Balancer.
 type decider interface {
 	Step(now time.Duration, events []saltmast.Event) []saltmast.Action
@@ -181,7 +192,7 @@
 	case outcome:
 		l.finish(m)
 	case drain:
-		l.until = l.clock.Now() + drainFor
+		l.until = l.clock.Now() + drainFor(l.s)
 		for _, r := range l.open {
 			l.guard(r)
 		}
--- /dev/null
+++ b/internal/agent/stop_test.go
@@ -0,0 +1,223 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"saltmast"
+)
+
+func get(id string) string {
+	return "GET /look HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: 7000\r\n\r\n"
+}
+
+// answered reads one answer off a connection that may bring more.
+func answered(t *testing.T, in *bufio.Reader) *http.Response {
+	t.Helper()
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	return resp
+}
+
+// stoppable runs an agent until stop is called.
+func stoppable(t *testing.T, c *Config, prepare func(*Agent)) (a *Agent, logged *capture, stop func(), ended chan error) {
+	t.Helper()
+	logged = &capture{}
+	a, err := New(c, logTo(logged))
+	if err != nil {
+		t.Fatal(err)
+	}
+	prepare(a)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	ended = make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	receive(t, a.loop.ready)
+	return a, logged, cancel, ended
+}
+
+// Guards against clients that go on sending, up to the kill, on the connections that a stop leaves open: those at
+// rest are closed while new ones are still taken, and one in use with its answer, whenever its request came.
+func TestStopClosesKeptConnections(t *testing.T) {
+	t.Parallel()
+	gate := make(chan struct{})
+	p := newPeer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		if r.Header.Get("X-Call-Id") == id {
+			<-gate
+		}
+		return echo(c, r, body)
+	})
+	a, logged, stop, ended := stoppable(t, config(t, newLists(t).addr, entry("s0", p.addr(), "SERVING")),
+		func(a *Agent) { a.acceptFor = 3 * time.Second })
+	kept := dialRaw(t, a, get(id[:15]+"2"))
+	in := bufio.NewReader(kept)
+	if resp := answered(t, in); resp.StatusCode != 200 || resp.Close {
+		t.Fatalf("before the stop: status %d, close %v", resp.StatusCode, resp.Close)
+	}
+	busy := dialRaw(t, a, get(id))
+	mute := dialRaw(t, a, "")
+	for range 2 {
+		receive(t, p.got)
+	}
+	until(t, "the connections to be taken", func() bool {
+		a.clients.mu.Lock()
+		defer a.clients.mu.Unlock()
+		return a.clients.open == 3 && a.clients.idle.Len() == 2
+	})
+	stop()
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("a kept connection: %v, want its end", err)
+	}
+	until(t, "the drain", func() bool { return logged.has("draining") })
+	close(gate)
+	if resp := answered(t, bufio.NewReader(busy)); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("under way as the stop came: status %d, close %v", resp.StatusCode, resp.Close)
+	}
+	io.WriteString(mute, get(id[:15]+"3")) // connected before the stop, and still on its way
+	if resp := answered(t, bufio.NewReader(mute)); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("on a connection that had said nothing: status %d, close %v", resp.StatusCode, resp.Close)
+	}
+	if err := receive(t, ended); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a stop, or a lack of room, that closes a connection under a request which has come but is not read
+// yet, or is being read: whichever of the two is first has the connection.
+func TestNoCloseUnderARequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients := newClients(l, 1)
+	clients.rest, clients.mute = 0, 0
+	defer clients.Close()
+	connect := func() (client net.Conn, c *clientConn) {
+		if client, err = net.Dial("tcp", l.Addr().String()); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { client.Close() })
+		nc, err := clients.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c = nc.(*clientConn)
+		clients.note(c, http.StateNew)
+		return client, c
+	}
+	buf := make([]byte, 10)
+
+	client, c := connect()
+	io.WriteString(client, "request")
+	until(t, "its bytes", func() bool { return pending(c.Conn) })
+	clients.drainAll()
+	if n, err := c.Read(buf); n != 7 || err != nil {
+		t.Fatalf("a request that waits to be read: %d bytes, %v", n, err)
+	}
+	clients.drainAll() // read, but net/http has not made a request of it yet
+	if _, ok := clients.room(time.Now()); ok {
+		t.Error("room was made of a connection whose request is being read")
+	}
+	io.WriteString(client, "more")
+	if n, err := c.Read(buf); n != 4 || err != nil {
+		t.Errorf("the rest of a request: %d bytes, %v", n, err)
+	}
+	c.Close()
+
+	client, c = connect()
+	clients.mu.Lock()
+	first := c.leave() // it was about to be closed as the request came
+	clients.mu.Unlock()
+	io.WriteString(client, "request")
+	until(t, "its bytes", func() bool { return pending(c.Conn) })
+	if n, err := c.Read(buf); n != 0 || err == nil {
+		t.Errorf("read %d bytes of a connection that is out of use, %v", n, err)
+	}
+	if !first || c.leave() {
+		t.Error("a connection is to be shut once")
+	}
+	c.shut()
+
+	_, c = connect()
+	clients.note(c, http.StateActive)
+	clients.note(c, http.StateIdle) // its answer was on its way out as the drain began
+	if !c.gone || clients.open != 0 {
+		t.Errorf("at rest in a drain: gone %v, %d open", c.gone, clients.open)
+	}
+}
+
+// Guards against losing a request that waits for its backoff as the stop comes.
+func TestStopAtBackoff(t *testing.T) {
+	t.Parallel()
+	failed := make(chan struct{})
+	first := true
+	p := newPeer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		if first {
+			first = false
+			answerWith(c, 500, "", "")
+			return true
+		}
+		return echo(c, r, body)
+	})
+	var stopped func() bool
+	a, logged, stop, ended := stoppable(t, config(t, newLists(t).addr, entry("s0", p.addr(), "SERVING")),
+		func(a *Agent) {
+			wait := []saltmast.Action{saltmast.SetTimer{After: time.Millisecond, Token: 1}}
+			send := []saltmast.Action{saltmast.Send{Request: id, Backend: "s0"}}
+			a.loop.bal = script(func(_ time.Duration, e saltmast.Event) []saltmast.Action {
+				switch e := e.(type) {
+				case saltmast.Request:
+					return send
+				case saltmast.Outcome:
+					if e.Result == saltmast.Errored {
+						close(failed)
+						return wait
+					}
+				case saltmast.TimerFired:
+					if !stopped() {
+						return wait
+					}
+					return send
+				}
+				return nil
+			})
+		})
+	stopped = func() bool { return logged.has("draining") }
+	c := dialRaw(t, a, get(id))
+	receive(t, failed)
+	stop()
+	if resp := answered(t, bufio.NewReader(c)); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("at backoff as the stop came: status %d, close %v", resp.StatusCode, resp.Close)
+	}
+	if err := receive(t, ended); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a kill that comes before the last answers where deadlines are short: it waits for the longest
+// deadline, 3 s at the most, and 0.7 s more.
+func TestStopEndsBeforeTheKill(t *testing.T) {
+	for _, tt := range []struct{ deadline, kill time.Duration }{
+		{300 * time.Millisecond, time.Second},
+		{1200 * time.Millisecond, 1900 * time.Millisecond},
+		{8 * time.Second, 3700 * time.Millisecond},
+	} {
+		s := saltmast.Settings{Classes: []saltmast.Class{{Deadline: 100 * time.Millisecond}, {Deadline: tt.deadline}}}
+		if end := drainFor(s) + lastWrite; end >= tt.kill {
+			t.Errorf("deadline %v: ends %v after a stop, to be killed after %v", tt.deadline, end, tt.kill)
+		}
+		if drainFor(s) < min(tt.deadline, 3*time.Second) {
+			t.Errorf("deadline %v: what came just before the stop gets %v", tt.deadline, drainFor(s))
+		}
+	}
+}
