Send nothing on for a client that has left, however it left

net/http looks for a client's leave by reading one byte behind its request, and stops once that byte has come: behind further bytes a close or a reset was never seen, and the request was tried again until its deadline. Whoever left while its connection waited to be accepted was seen too late: the attempt was out by then. And a handler that returns for a client that only ended its sending sends it an empty 200, made by no server.

The front now asks the system (poll, RDHUP) as it hands a request over and every 0.1 s, and an attempt asks right before its first byte; more than 16 KB behind an open request hide any end, and end it with a 400. A dial is given up with its request, and as never sent. A request that was not taken (its id open, no place free) no longer counts as left: its leave abandoned the other client's request of that id, and set the count of places off. The limit on a body's time closes the connection instead of a read deadline that could pass as the body was whole and be held for a leave. Module: what a leaver kept until its timer came is freed, and a keyed repeat leaves the connect time-out of its window free: a connection that came up late sent its first byte after the window.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -49,7 +49,7 @@
 	a := &Agent{loop: loop, front: newFront(c, loop), clients: conns, log: log, acceptFor: acceptFor}
 	a.front.crowded = conns.crowded
 	a.server = &http.Server{Handler: a.front, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, ConnState: conns.note,
-		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+		ConnContext: withClient, MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	return a, nil
 }
 
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -12,7 +12,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"saltmast"
@@ -35,12 +34,16 @@
 	method, host string
 	target       *url.URL
 	body         []byte
-	over         atomic.Bool // ended: nothing more may go out for it
+	over         context.Context // ends with it: nothing more may go out for it
+	left         func() bool     // whether its client has left, which the loop may not know yet
 }
 
 // attempt sends one attempt and returns its result, and the body where it was served.
 func (b *backends) attempt(ctx context.Context, q *call, backend string, cut time.Time) (saltmast.Result, reply) {
-	c, res, err := b.connect(ctx, backend, cut)
+	dial, stop := context.WithCancel(ctx)
+	defer stop()
+	defer context.AfterFunc(q.over, stop)() // what is written runs on, a dial does not
+	c, res, err := b.connect(dial, backend, cut)
 	if c == nil {
 		return res, reply{at: time.Now(), err: err}
 	}
@@ -50,7 +53,7 @@
 		b.pool.release(c)
 		return saltmast.ConnectFailed, reply{at: time.Now()} // another backend can take it
 	}
-	if q.over.Load() || ctx.Err() != nil || !time.Now().Before(cut) {
+	if q.over.Err() != nil || q.left() || ctx.Err() != nil || !time.Now().Before(cut) {
 		b.pool.release(c)
 		return saltmast.NotSent, reply{at: time.Now()}
 	}
@@ -79,7 +82,7 @@
 	case err == nil:
 		return c, 0, nil
 	case ctx.Err() != nil:
-		return nil, saltmast.Cancelled, err
+		return nil, saltmast.NotSent, err
 	}
 	if isTimeout(err) {
 		b.pool.closeIdle(backend) // the machine says nothing: those that it has are no better
--- a/internal/agent/clients.go
+++ b/internal/agent/clients.go
@@ -44,6 +44,16 @@
 	gone  bool
 }
 
+// clientKey is the key of a request's connection in its context.
+type clientKey struct{}
+
+func withClient(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, clientKey{}, c)
+}
+
+// clientOf is the connection on which a request came.
+func clientOf(r *http.Request) *clientConn { return r.Context().Value(clientKey{}).(*clientConn) }
+
 func newClients(l net.Listener, limit int) *clients {
 	return &clients{Listener: l, limit: limit, rest: restTime, mute: mutePause, idle: list.New(),
 		left: make(chan struct{}, 1), ended: make(chan struct{})}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,6 +18,8 @@
 	bodyTime = 2 * time.Second
 	// lingerTime is how long the rest of a request is read that was turned away.
 	lingerTime = 100 * time.Millisecond
+	// lookEvery is how often a client is looked after that net/http may not see leave.
+	lookEvery = 100 * time.Millisecond
 	// maxBudget is the longest that a client may be willing to wait.
 	maxBudget = time.Hour
 )
@@ -62,27 +65,56 @@
 		turnAway(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	client := clientOf(r)
 	if r.ContentLength != 0 {
-		if q.body, err = readBody(w, r); err != nil {
+		if q.body, err = readBody(client, r); err != nil {
 			turnAway(w, http.StatusBadRequest, "bad body")
 			return
 		}
 		arrived = time.Now() // a request's time counts from its last byte
 	}
+	q.left = func() bool { left, flooded := departed(client.Conn); return left || flooded }
+	if left, flooded := departed(client.Conn); left {
+		panic(http.ErrAbortHandler) // while it waited to be read
+	} else if flooded {
+		turnAway(w, http.StatusBadRequest, "too much behind a request")
+		return
+	}
 	at := f.loop.clock.At(arrived)
 	req := &request{q: q, class: event.Class, arrived: at, deadline: at + event.Left, answer: make(chan answer, 1)}
 	f.loop.post(arrival{r: req, event: event})
-	select {
-	case a := <-req.answer:
-		if f.draining.Load() || f.crowded() { // it stops soon: the client's next goes to a new process
-			w.Header().Set("Connection", "close")
+	f.await(w, r, client, req)
+}
+
+// await answers a request that the loop has been handed. net/http looks for a client that leaves until it has
+// read a byte behind the request; beyond that, its connection is looked at now and then.
+func (f *front) await(w http.ResponseWriter, r *http.Request, client *clientConn, req *request) {
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	left, flooded := false, false
+	for !left && !flooded {
+		select {
+		case a := <-req.answer:
+			if f.draining.Load() || f.crowded() { // it stops soon: the client's next goes to a new process
+				w.Header().Set("Connection", "close")
+			}
+			write(w, a)
+			return
+		case <-f.loop.done:
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		case <-r.Context().Done():
+			left = true
+		case <-look.C:
+			left, flooded = departed(client.Conn)
 		}
-		write(w, a)
-	case <-r.Context().Done():
-		f.loop.post(departure{r: req})
-	case <-f.loop.done:
-		w.WriteHeader(http.StatusBadGateway)
 	}
+	f.loop.post(departure{r: req})
+	if flooded && !left {
+		turnAway(w, http.StatusBadRequest, "too much behind a request")
+		return
+	}
+	panic(http.ErrAbortHandler) // no answer: to return would send an empty one, as if served
 }
 
 func (f *front) health(w http.ResponseWriter) {
@@ -190,16 +222,16 @@
 	return true
 }
 
-// readBody reads a body whose length is known to fit.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	c := http.NewResponseController(w)
-	c.SetReadDeadline(time.Now().Add(bodyTime))
+// readBody reads a body whose length is known to fit. One that takes too long costs the connection. No read deadline
+// bounds it, which might pass just as the body is whole and be held for the client's leave.
+func readBody(client *clientConn, r *http.Request) ([]byte, error) {
+	late := time.AfterFunc(bodyTime, func() { client.Close() })
 	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
-		return nil, err
+	_, err := io.ReadFull(r.Body, body)
+	if !late.Stop() {
+		return nil, os.ErrDeadlineExceeded
 	}
-	c.SetReadDeadline(time.Time{})
-	return body, nil
+	return body, err
 }
 
 func write(w http.ResponseWriter, a answer) {
--- /dev/null
+++ b/internal/agent/leave_test.go
@@ -0,0 +1,266 @@
+package agent
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"saltmast"
+)
+
+// leaves are the ways in which a client leaves. net/http sees no end behind bytes that follow the request.
+var leaves = []struct {
+	name   string
+	behind string
+	end    func(c *net.TCPConn)
+}{
+	{"closes", "", func(c *net.TCPConn) { c.Close() }},
+	{"resets", "", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }},
+	{"ends its sending", "", func(c *net.TCPConn) { c.CloseWrite() }},
+	{"closes, a byte behind", "G", func(c *net.TCPConn) { c.Close() }},
+	{"closes, requests behind", get(id[:15]+"2") + get(id[:15]+"3") + "GET /lo", func(c *net.TCPConn) { c.Close() }},
+	{"resets, requests behind", get(id[:15]+"2") + get(id[:15]+"3"), func(c *net.TCPConn) { c.SetLinger(0); c.Close() }},
+	{"closes, a flood behind", strings.Repeat("x", 1<<20), func(c *net.TCPConn) { c.Close() }},
+}
+
+// leaving runs a test for each way. say sends what comes behind a request; leave ends the connection.
+func leaving(t *testing.T, do func(t *testing.T, dial func(*Agent, string) *net.TCPConn, leave func(*net.TCPConn))) {
+	for _, l := range leaves {
+		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
+			do(t, func(a *Agent, text string) *net.TCPConn {
+				return dialRaw(t, a, text).(*net.TCPConn)
+			}, func(c *net.TCPConn) {
+				sent := make(chan struct{})
+				go func() { // a flood may never be taken whole
+					defer close(sent)
+					io.WriteString(c, l.behind)
+				}()
+				select {
+				case <-sent:
+				case <-time.After(50 * time.Millisecond):
+				}
+				l.end(c)
+			})
+		})
+	}
+}
+
+// Guards against work for a client that has left while its request waited for a backoff or a timer: the module
+// hears of it however it left, nothing goes out for it, nothing is kept of it, and no answer is made up.
+func TestLeavesAtBackoff(t *testing.T) {
+	leaving(t, func(t *testing.T, dial func(*Agent, string) *net.TCPConn, leave func(*net.TCPConn)) {
+		p := newPeer(t, echo)
+		heard, done := make(chan struct{}), make(chan saltmast.Result, 1)
+		a, logged := start(t, config(t, newLists(t).addr, entry("s0", p.addr(), "SERVING")),
+			script(func(_ time.Duration, e saltmast.Event) []saltmast.Action {
+				switch e := e.(type) {
+				case saltmast.Request:
+					if e.ID == id {
+						close(heard)
+					}
+				case saltmast.Abandoned:
+					if e.Request == id { // a bug that the loop has to hold back
+						return []saltmast.Action{saltmast.Send{Request: id, Backend: "s0"}, saltmast.Note{Text: "sent late"}}
+					}
+				case saltmast.Outcome:
+					done <- e.Result
+				}
+				return nil
+			}))
+		c := dial(a, get(id))
+		receive(t, heard)
+		leave(c)
+		until(t, "the module to hear", func() bool { return logged.has("sent late") })
+		select {
+		case res := <-done:
+			if res != saltmast.NotSent {
+				t.Errorf("result %d of a send after its client had left", res)
+			}
+		default: // not even tried
+		}
+		if len(p.got) != 0 {
+			t.Error("a request went out after its client had left")
+		}
+		if text, _ := io.ReadAll(c); strings.Contains(string(text), " 200 ") {
+			t.Errorf("the client that only ended its sending was told %q", text)
+		}
+	})
+}
+
+// Guards against a request that goes out on a connection that came up after its client had left.
+func TestLeavesDuringADial(t *testing.T) {
+	leaving(t, func(t *testing.T, dial func(*Agent, string) *net.TCPConn, leave func(*net.TCPConn)) {
+		p := newPeer(t, echo)
+		dialling, gate := make(chan struct{}, 10), make(chan struct{})
+		told, ended := make(chan struct{}, 10), make(chan saltmast.Outcome, 10)
+		a, _ := startWith(t, config(t, newLists(t).addr, entry("s0", p.addr(), "SERVING")), func(a *Agent) {
+			a.loop.back.pool.dialer.Control = func(_, _ string, _ syscall.RawConn) error {
+				dialling <- struct{}{}
+				<-gate
+				return nil
+			}
+			a.loop.bal = script(func(_ time.Duration, e saltmast.Event) []saltmast.Action {
+				switch e := e.(type) {
+				case saltmast.Request:
+					if e.ID == id {
+						return []saltmast.Action{saltmast.Send{Request: id, Backend: "s0"}}
+					}
+				case saltmast.Abandoned:
+					if e.Request == id {
+						told <- struct{}{}
+					}
+				case saltmast.Outcome:
+					ended <- e
+				}
+				return nil
+			})
+		})
+		c := dial(a, get(id))
+		receive(t, dialling)
+		leave(c)
+		receive(t, told)
+		close(gate)
+		if e := receive(t, ended); e.Result != saltmast.NotSent || !e.Done {
+			t.Errorf("outcome %+v", e)
+		}
+		if len(p.got) != 0 {
+			t.Error("a request went out after its client had left")
+		}
+	})
+}
+
+// Guards against taking the request of a client that left while its connection waited for a place.
+func TestLeavesBeforeItsPlace(t *testing.T) {
+	leaving(t, func(t *testing.T, dial func(*Agent, string) *net.TCPConn, leave func(*net.TCPConn)) {
+		gate := make(chan struct{})
+		p := newPeer(t, func(c net.Conn, r *http.Request, body []byte) bool { <-gate; return echo(c, r, body) })
+		c := config(t, newLists(t).addr, entry("s0", p.addr(), "SERVING"))
+		c.Sockets = 2 // one for clients
+		a, _ := start(t, c, nil)
+		first := dial(a, get(id[:15]+"8"))
+		receive(t, p.got)
+		second := dial(a, get(id))
+		leave(second) // which its system passes on at once, to a connection that the agent has not accepted yet
+		close(gate)
+		if status(t, first) != 200 {
+			t.Error("the first one was not served")
+		}
+		first.Close()
+		if resp, _ := ask(t, a, "GET", "/look", "", "X-Call-Id", id[:15]+"9", "X-Budget-Ms", "7000"); resp.StatusCode != 200 {
+			t.Errorf("the third one got %d", resp.StatusCode)
+		}
+		for len(p.got) > 0 {
+			if r := <-p.got; r.Header.Get("X-Call-Id") == id {
+				t.Error("a request went out whose client had left before it was read")
+			}
+		}
+	})
+}
+
+// Guards against a body that stops: its request is not taken, however its client leaves.
+func TestLeavesWithinItsBody(t *testing.T) {
+	leaving(t, func(t *testing.T, dial func(*Agent, string) *net.TCPConn, leave func(*net.TCPConn)) {
+		p := newPeer(t, echo)
+		a, _ := start(t, config(t, newLists(t).addr, entry("s0", p.addr(), "SERVING")), nil)
+		c := dial(a, post(id, "Content-Length: 3000000\r\n")+"half")
+		leave(c)
+		if resp, _ := ask(t, a, "GET", "/look", "", "X-Call-Id", id[:15]+"9", "X-Budget-Ms", "7000"); resp.StatusCode != 200 {
+			t.Errorf("the next one got %d", resp.StatusCode)
+		}
+		if r := receive(t, p.got); r.Header.Get("X-Call-Id") == id {
+			t.Error("half a request went out")
+		}
+	})
+}
+
+// Guards against an attempt that is repeated, or kept, for a client that left while it was out.
+func TestLeavesWithAnAttemptOut(t *testing.T) {
+	leaving(t, func(t *testing.T, dial func(*Agent, string) *net.TCPConn, leave func(*net.TCPConn)) {
+		gate := make(chan struct{})
+		p := newPeer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+			<-gate
+			answerWith(c, 500, "", "")
+			return true
+		})
+		told, ended := make(chan struct{}, 10), make(chan saltmast.Outcome, 10)
+		c := config(t, newLists(t).addr, entry("s0", p.addr(), "SERVING"))
+		real, err := saltmast.New(c.Settings, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, _ := start(t, c, watched{real, func(e saltmast.Event) {
+			switch e := e.(type) {
+			case saltmast.Abandoned:
+				if e.Request == id {
+					told <- struct{}{}
+				}
+			case saltmast.Outcome:
+				ended <- e
+			}
+		}})
+		client := dial(a, get(id))
+		receive(t, p.got)
+		leave(client)
+		receive(t, told)
+		close(gate)
+		if e := receive(t, ended); e.Result != saltmast.Errored || !e.Done {
+			t.Errorf("outcome %+v", e)
+		}
+		if resp, _ := ask(t, a, "POST", "/settle", "", "X-Call-Id", id, "X-Budget-Ms", "7000"); resp.StatusCode != 502 {
+			t.Errorf("its id, free again, got %d", resp.StatusCode) // 400 while it is open
+		}
+		if n := len(p.got); n != 1 {
+			t.Errorf("%d attempts more went out, want that of the next request alone", n)
+		}
+	})
+}
+
+// watched is a module that shows its events.
+type watched struct {
+	decider
+	see func(saltmast.Event)
+}
+
+func (w watched) Step(now time.Duration, events []saltmast.Event) []saltmast.Action {
+	for _, e := range events {
+		w.see(e)
+	}
+	return w.decider.Step(now, events)
+}
+
+// Guards against the leave of a client whose request was not taken, since its id was open or no place was free:
+// it passed for that of the client whose request is open, or took a place off the count.
+func TestLeavesUntaken(t *testing.T) {
+	l, err := newLoop(config(t, "127.0.0.1:1"), NewClock(), logTo(&capture{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := l.clock.Now()
+	arrive := func(id string) *request {
+		r := &request{q: &call{id: id}, arrived: now, deadline: now + time.Minute, answer: make(chan answer, 1)}
+		l.take(arrival{r: r, event: saltmast.Request{ID: id}})
+		return r
+	}
+	first, twin := arrive(id), arrive(id)
+	l.s.MaxOpen = 1
+	late := arrive(id[:15] + "2")
+	known := len(l.pending)
+	for _, r := range []*request{twin, late} {
+		if len(r.answer) != 1 {
+			t.Error("not turned away at once")
+		}
+		l.take(departure{r: r})
+	}
+	if first.ended || l.taken != 1 || len(l.open) != 1 || len(l.pending) != known {
+		t.Errorf("the open request ended %v, %d taken, %d open, %d events more", first.ended, l.taken, len(l.open), len(l.pending)-known)
+	}
+	l.take(departure{r: first})
+	if !first.ended || l.taken != 0 || len(l.open) != 0 || len(l.timers) != 0 || len(l.pending) != known+1 {
+		t.Errorf("after its own leave: ended %v, %d taken, %d open, %d timers", first.ended, l.taken, len(l.open), len(l.timers))
+	}
+}
--- a/internal/agent/look.go
+++ b/internal/agent/look.go
@@ -4,8 +4,13 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
+// maxBehind is how much may wait behind an open request.
+const maxBehind = 16 << 10
+
 // look peeks at a socket without waiting. quiet: nothing has come and the other side has not closed it.
 // bytes: something is there to be read.
 func look(c net.Conn) (quiet, bytes bool) {
@@ -45,6 +50,24 @@
 	return err == syscall.EAGAIN, err == nil && n > 0
 }
 
+// departed reports whether a client has left, although bytes that it sent before may hide its end from whoever
+// reads, and whether more waits to be read than follows an open request of a client that means to wait: behind
+// that, no end would be seen.
+func departed(c net.Conn) (left, flooded bool) {
+	raw, err := rawConn(c)
+	if err != nil {
+		return false, false
+	}
+	err = raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		left = err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		waiting, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+		flooded = err == nil && waiting > maxBehind
+	})
+	return left || err != nil, flooded // closed by this side, nobody can be answered on it
+}
+
 // pending reports whether bytes wait to be read.
 func pending(c net.Conn) bool {
 	_, bytes := look(c)
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -72,6 +72,7 @@
 	cut      time.Duration // as told to the module: attempts end then
 	answer   chan answer   // holds one
 	ended    bool
+	stop     context.CancelFunc   // tells attempts that it has ended
 	attempts []context.CancelFunc // by number; nil once its outcome is in
 	out      int
 	risky    bool   // some attempt may have run
@@ -205,14 +206,18 @@
 
 func (l *Loop) arrive(m arrival) {
 	r := m.r
+	// What is not taken is over: should its client leave before it reads that, another one of this id is not meant.
 	if l.open[r.q.id] != nil {
+		r.ended = true
 		r.answer <- answer{status: http.StatusBadRequest, body: []byte("this id is open already\n")}
 		return
 	}
 	if l.s.MaxOpen > 0 && l.taken >= l.s.MaxOpen {
+		r.ended = true
 		r.answer <- answer{status: http.StatusServiceUnavailable}
 		return
 	}
+	r.q.over, r.stop = context.WithCancel(context.Background())
 	l.open[r.q.id] = r
 	l.taken++
 	l.guard(r)
@@ -244,7 +249,7 @@
 // end marks a request as answered. From here on nothing goes out for it.
 func (l *Loop) end(r *request) {
 	r.ended = true
-	r.q.over.Store(true)
+	r.stop()
 	l.unguard(r)
 	l.taken--
 	l.forget(r)
--- a/saltmast.go
+++ b/saltmast.go
@@ -566,7 +566,8 @@
 	if c.Effect == Safe || r.risky == 0 {
 		return true
 	}
-	if c.Effect == Unsafe || b.now-r.anchor.sent >= c.Window {
+	// A connection that comes up late may hold the repeat up until its time-out, and the window must not pass then.
+	if c.Effect == Unsafe || b.now-r.anchor.sent >= c.Window-b.s.ConnectTimeout {
 		return false
 	}
 	switch c.Group {
@@ -1055,9 +1056,8 @@
 		b.taken--
 	}
 	r.ended = true
-	if r.holding {
-		b.unhold(r)
-	}
+	b.unhold(r)
+	delete(b.timers, r.timer)
 	if r.open == 0 {
 		delete(b.requests, r.id)
 		b.leaveLine(r)
