--- a/saltmast.go
+++ b/saltmast.go
@@ -566,7 +566,7 @@
 	if c.Effect == Safe || r.risky == 0 {
 		return true
 	}
-	// A connection that comes up late may hold the repeat up until its time-out, and the window must not pass then.
+	// A connection that comes up late holds the repeat up for its time-out: the window must not pass then.
 	if c.Effect == Unsafe || b.now-r.anchor.sent >= c.Window-b.s.ConnectTimeout {
 		return false
 	}
