--- a/internal/agent/clients.go
+++ b/internal/agent/clients.go
@@ -176,10 +176,13 @@
 	}
 }
 
-// Close ends the listener, and a wait for room.
-func (l *clients) Close() error {
-	l.once.Do(func() { close(l.ended) })
-	return l.Listener.Close()
+// Close ends the listener, and a wait for room. net/http closes it as well, as soon as that wait is over.
+func (l *clients) Close() (err error) {
+	l.once.Do(func() {
+		close(l.ended)
+		err = l.Listener.Close()
+	})
+	return err
 }
 
 // note follows the states that net/http sees.
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -16,8 +16,9 @@
 const (
 	// bodyTime is how long a request's body may take to come, once its head is there.
 	bodyTime = 2 * time.Second
-	// lingerTime is how long the rest of a request is read that was turned away.
+	// lingerTime is how long the rest of a request is read that was turned away, and lingerMost so much of it.
 	lingerTime = 100 * time.Millisecond
+	lingerMost = 256 << 10
 	// lookEvery is how often a client is looked after that net/http may not see leave.
 	lookEvery = 100 * time.Millisecond
 	// maxBudget is the longest that a client may be willing to wait.
@@ -31,11 +32,12 @@
 	tenants  []string
 	settings saltmast.Settings
 	draining atomic.Bool
-	crowded  func() bool // whether clients' connections run short
+	linger   time.Duration // see lingerTime
+	crowded  func() bool   // whether clients' connections run short
 }
 
 func newFront(c *Config, loop *Loop) *front {
-	f := &front{loop: loop, classes: map[string]int{}, tenants: c.Names.Tenants, settings: c.Settings}
+	f := &front{loop: loop, classes: map[string]int{}, tenants: c.Names.Tenants, settings: c.Settings, linger: lingerTime}
 	for i, name := range c.Names.Classes {
 		f.classes[name] = i
 	}
@@ -51,24 +53,24 @@
 		return
 	}
 	if status, why := framing(r); status != 0 {
-		turnAway(w, status, why)
+		f.turnAway(w, r, status, why)
 		return
 	}
 	event, status, why := f.parse(r)
 	if status != 0 {
-		turnAway(w, status, why)
+		f.turnAway(w, r, status, why)
 		return
 	}
 	q := &call{id: event.ID, key: r.Header.Get("Idempotency-Key"), method: r.Method, host: r.Host}
 	var err error
 	if q.target, err = targetOf(r); err != nil {
-		turnAway(w, http.StatusBadRequest, err.Error())
+		f.turnAway(w, r, http.StatusBadRequest, err.Error())
 		return
 	}
 	client := clientOf(r)
 	if r.ContentLength != 0 {
 		if q.body, err = readBody(client, r); err != nil {
-			turnAway(w, http.StatusBadRequest, "bad body")
+			f.turnAway(w, r, http.StatusBadRequest, "bad body")
 			return
 		}
 		arrived = time.Now() // a request's time counts from its last byte
@@ -77,7 +79,7 @@
 	if left, flooded := departed(client.Conn); left {
 		panic(http.ErrAbortHandler) // while it waited to be read
 	} else if flooded {
-		turnAway(w, http.StatusBadRequest, "too much behind a request")
+		f.turnAway(w, r, http.StatusBadRequest, "too much behind a request")
 		return
 	}
 	at := f.loop.clock.At(arrived)
@@ -111,7 +113,7 @@
 	}
 	f.loop.post(departure{r: req})
 	if flooded && !left {
-		turnAway(w, http.StatusBadRequest, "too much behind a request")
+		f.turnAway(w, r, http.StatusBadRequest, "too much behind a request")
 		return
 	}
 	panic(http.ErrAbortHandler) // no answer: to return would send an empty one, as if served
@@ -144,12 +146,15 @@
 	return 0, ""
 }
 
-// turnAway answers what is no request and closes its connection: what follows on it can't be trusted, and
-// the rest of its body is not worth reading.
-func turnAway(w http.ResponseWriter, status int, why string) {
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime)) // net/http reads on to the end
+// turnAway answers what is no request and closes its connection: what follows on it can't be trusted. Some of its body
+// is read all the same, since a close on unread bytes resets the connection and takes the answer along.
+func (f *front) turnAway(w http.ResponseWriter, r *http.Request, status int, why string) {
+	c := http.NewResponseController(w)
+	c.SetReadDeadline(time.Now().Add(f.linger))
 	w.Header().Set("Connection", "close")
 	http.Error(w, why, status)
+	c.Flush()
+	io.CopyN(io.Discard, r.Body, lingerMost)
 }
 
 // once are the headers that a request carries once at the most: which of two counts is anyone's guess.
