--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -19,11 +19,22 @@
 	// netMargin before it the safety net answers. So the last byte is written in time.
 	cutMargin = 20 * time.Millisecond
 	netMargin = 5 * time.Millisecond
-	// drainFor after a stop was asked for, all that is still open is answered: the process may be
-	// killed 3.7 s after.
-	drainFor = 3200 * time.Millisecond
+	// After a stop was asked for, the process may be killed as soon as the longest deadline, which counts as
+	// longestWait at most, and killAfter are over. All is answered stopMargin before that.
+	longestWait = 3 * time.Second
+	killAfter   = 700 * time.Millisecond
+	stopMargin  = 300 * time.Millisecond
 )
 
+// drainFor is how long after a stop was asked for all that is still open is answered.
+func drainFor(s saltmast.Settings) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range s.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, longestWait) + killAfter - stopMargin
+}
+
 // decider is the decision module; in service a *saltmast.Balancer.
 type decider interface {
 	Step(now time.Duration, events []saltmast.Event) []saltmast.Action
@@ -61,6 +72,7 @@
 	cut      time.Duration // as told to the module: attempts end then
 	answer   chan answer   // holds one
 	ended    bool
+	stop     context.CancelFunc   // tells attempts that it has ended
 	attempts []context.CancelFunc // by number; nil once its outcome is in
 	out      int
 	risky    bool   // some attempt may have run
@@ -104,8 +116,12 @@
 	l.back = &backends{pool: pool, table: table, reports: c.Settings.Reports,
 		probing: 2 * c.Settings.ConnectTimeout, stall: max(2*c.Settings.ConnectTimeout, 100*time.Millisecond), log: log}
 	l.disc = &discovery{addr: c.Discovery, client: newListClient(), table: table,
-		stale: pool.retire, post: l.post, silence: watchSilence, event: lister(c, clock), log: log,
-		unasked: !c.Settings.Subscribe, unit: max(c.Settings.ConnectTimeout, 10*time.Millisecond), rng: rand.New(rand.NewPCG(c.Seed, 1))}
+		stale: pool.retire, post: l.post, silence: watchSilence, calling: callTime, event: lister(c, clock), log: log,
+		unasked: !c.Settings.Subscribe, unit: max(c.Settings.ConnectTimeout, 10*time.Millisecond),
+		longest: max(c.Settings.DrainGrace/4, 10*time.Millisecond), rng: rand.New(rand.NewPCG(c.Seed, 1))}
+	if l.disc.unasked { // it comes from this machine, at once
+		l.disc.calling = watchSilence
+	}
 	known := c.Known
 	known.Full = true
 	l.disc.version = known.Version
@@ -177,7 +193,7 @@
 	case outcome:
 		l.finish(m)
 	case drain:
-		l.until = l.clock.Now() + drainFor
+		l.until = l.clock.Now() + drainFor(l.s)
 		for _, r := range l.open {
 			l.guard(r)
 		}
@@ -190,14 +206,18 @@
 
 func (l *Loop) arrive(m arrival) {
 	r := m.r
+	// What is not taken is over: should its client leave before it reads that, another one of this id is not meant.
 	if l.open[r.q.id] != nil {
+		r.ended = true
 		r.answer <- answer{status: http.StatusBadRequest, body: []byte("this id is open already\n")}
 		return
 	}
 	if l.s.MaxOpen > 0 && l.taken >= l.s.MaxOpen {
+		r.ended = true
 		r.answer <- answer{status: http.StatusServiceUnavailable}
 		return
 	}
+	r.q.over, r.stop = context.WithCancel(context.Background())
 	l.open[r.q.id] = r
 	l.taken++
 	l.guard(r)
@@ -229,7 +249,7 @@
 // end marks a request as answered. From here on nothing goes out for it.
 func (l *Loop) end(r *request) {
 	r.ended = true
-	r.q.over.Store(true)
+	r.stop()
 	l.unguard(r)
 	l.taken--
 	l.forget(r)
