Send nothing to a process that was started again between choice and first byte

Read off the code, lines at fault: backends.attempt looked before the first byte whether the backend serves, not whether it is still the process that the connection was made to. A restart or a move told during the dial, or after a connection at rest was taken (the table has it before the pool retires the group), sent the request to the old process: a reset, which passes for one that may have run, so that a request that may not be repeated failed; or to whatever holds the old address by now. connect now compares the listed entry with the one that the connection was dialled for, after it has one, and takes or dials another.

Fails without the mend: TestRestartBeforeTheFirstByte, all four cases. 10 runs under the race detector pass.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -47,12 +47,7 @@
 	if c == nil {
 		return res, reply{at: time.Now(), err: err}
 	}
-	// The dial took time: the request may have ended, or the backend begun to drain, meanwhile.
-	// From here to the first byte nothing waits.
-	if _, ok := b.table.serving(backend); !ok {
-		b.pool.release(c)
-		return saltmast.ConnectFailed, reply{at: time.Now()} // another backend can take it
-	}
+	// The dial took time: the request may have ended meanwhile. From here to the first byte nothing waits.
 	if q.over.Err() != nil || q.left() || ctx.Err() != nil || !time.Now().Before(cut) {
 		b.pool.release(c)
 		return saltmast.NotSent, reply{at: time.Now()}
@@ -68,26 +63,35 @@
 	return b.exchange(ctx, c, req, q.body, cut)
 }
 
-// connect gives a connection to a backend, or the result if there is none to be had.
+// connect gives a connection to a backend, or the result if there is none to be had. By then the backend may have
+// begun to drain, or been started again: nothing goes out to a process that is no more, whose end of a connection
+// would pass for that of a request which may have run.
 func (b *backends) connect(ctx context.Context, backend string, cut time.Time) (*conn, saltmast.Result, error) {
-	addr, ok := b.table.serving(backend)
-	if !ok { // it began to drain since it was chosen: there is no connection for this, and another may serve it
-		return nil, saltmast.ConnectFailed, nil
-	}
-	if c := b.pool.take(backend); c != nil {
-		return c, 0, nil
-	}
-	c, err := b.pool.dial(ctx, backend, addr, cut)
-	switch {
-	case err == nil:
-		return c, 0, nil
-	case ctx.Err() != nil:
-		return nil, saltmast.NotSent, err
-	}
-	if isTimeout(err) {
-		b.pool.closeIdle(backend) // the machine says nothing: those that it has are no better
+	for {
+		to, ok := b.table.serving(backend)
+		if !ok { // since it was chosen: there is no connection for this, and another may serve it
+			return nil, saltmast.ConnectFailed, nil
+		}
+		c := b.pool.take(backend)
+		if c == nil {
+			var err error
+			c, err = b.pool.dial(ctx, to, cut)
+			switch {
+			case err == nil:
+			case ctx.Err() != nil:
+				return nil, saltmast.NotSent, err
+			default:
+				if isTimeout(err) {
+					b.pool.closeIdle(backend) // the machine says nothing: those that it has are no better
+				}
+				return nil, saltmast.ConnectFailed, err
+			}
+		}
+		if now, ok := b.table.serving(backend); ok && c.to.sameProcess(now) {
+			return c, 0, nil
+		}
+		b.pool.close(c)
 	}
-	return nil, saltmast.ConnectFailed, err
 }
 
 // staleAfter is the rest of a connection after which a break at the next request is put down to the rest.
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -259,6 +259,57 @@
 	}
 }
 
+// Guards against a request that goes to a process that is no more, or to another one at its old address, as the word
+// of a restart comes between the choice of a connection and the first byte: it goes out once, on a new connection.
+func TestRestartBeforeTheFirstByte(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		kept   bool // on a connection that was at rest, which the restart has not retired yet
+		listed func(old, other *peer) Server
+	}{
+		{"started again during the dial", false, func(old, _ *peer) Server { return Server{ID: "s0", Addr: old.addr(), StartedMs: 7} }},
+		{"moved during the dial", false, func(_, other *peer) Server { return Server{ID: "s0", Addr: other.addr()} }},
+		{"started again, on a kept connection", true, func(old, _ *peer) Server { return Server{ID: "s0", Addr: old.addr(), StartedMs: 7} }},
+		{"moved, on a kept connection", true, func(_, other *peer) Server { return Server{ID: "s0", Addr: other.addr()} }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			old, other := newPeer(t, echo), newPeer(t, echo)
+			b := newBackends(t, old.addr())
+			told := false
+			tell := func() {
+				if !told {
+					told = true
+					s := tt.listed(old, other)
+					s.State = "SERVING"
+					b.table.apply(Listing{Servers: []Server{s}})
+				}
+			}
+			before := ""
+			if tt.kept {
+				b.try(settle(), long)
+				before = receive(t, old.got).RemoteAddr
+				tell()
+			} else {
+				b.pool.dialer.Control = func(_, _ string, _ syscall.RawConn) error { tell(); return nil }
+			}
+			if res, _ := b.try(settle(), long); res != saltmast.OK {
+				t.Fatalf("result %d, want OK", res)
+			}
+			receive(t, old.closed)
+			to, not := old, other
+			if tt.listed(old, other).Addr == other.addr() {
+				to, not = other, old
+			}
+			if r := receive(t, to.got); r.RemoteAddr == before {
+				t.Error("it went out on the old connection")
+			}
+			if len(to.got)+len(not.got) != 0 {
+				t.Error("it went out twice, or to the old address")
+			}
+		})
+	}
+}
+
 // Guards against a machine that vanished with idle connections open: what is written there is
 // swallowed, and an unsafe request never gets another attempt.
 func TestSilenceClosesIdleConnections(t *testing.T) {
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -95,7 +95,7 @@
 	for _, s := range l.Servers {
 		listed[s.ID] = true
 		old, known := t.m[s.ID]
-		if known && (s.State != "SERVING" || s.Addr != old.Addr || s.StartedMs != old.StartedMs) {
+		if known && (s.State != "SERVING" || !s.sameProcess(old)) {
 			stale = append(stale, s.ID)
 		}
 		if states[s.State] == saltmast.Gone {
@@ -115,14 +115,17 @@
 	return stale
 }
 
-// serving returns the address of a backend that may get new work.
-func (t *members) serving(id string) (string, bool) {
+// serving returns the entry of a backend that may get new work.
+func (t *members) serving(id string) (Server, bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	s, ok := t.m[id]
-	return s.Addr, ok && s.State == "SERVING"
+	return s, ok && s.State == "SERVING"
 }
 
+// sameProcess reports whether two entries of a backend tell of one process at one address.
+func (s Server) sameProcess(o Server) bool { return s.Addr == o.Addr && s.StartedMs == o.StartedMs }
+
 // any tells whether some backend may get new work.
 func (t *members) any() bool {
 	t.mu.RLock()
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -37,6 +37,7 @@
 type conn struct {
 	net.Conn
 	group  *group
+	to     Server    // as listed when it was dialled
 	since  time.Time // idle from then on
 	closed bool      // guarded by pool.mu
 }
@@ -63,30 +64,30 @@
 }
 
 // dial opens a connection, within the pool's limit and time-out.
-func (p *pool) dial(ctx context.Context, backend, addr string, cut time.Time) (*conn, error) {
+func (p *pool) dial(ctx context.Context, to Server, cut time.Time) (*conn, error) {
 	p.mu.Lock()
 	if p.limit > 0 && p.open >= p.limit && !p.evict() {
 		p.mu.Unlock()
 		return nil, errors.New("out of connections")
 	}
-	g := p.groups[backend]
+	g := p.groups[to.ID]
 	if g == nil {
-		g = &group{backend: backend}
-		p.groups[backend] = g
+		g = &group{backend: to.ID}
+		p.groups[to.ID] = g
 	}
 	g.open++
 	p.open++
 	p.mu.Unlock()
 	d := p.dialer
 	d.Deadline = cut
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := d.DialContext(ctx, "tcp", to.Addr)
 	if err != nil {
 		p.mu.Lock()
 		p.forget(g)
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &conn{Conn: nc, group: g}, nil
+	return &conn{Conn: nc, group: g, to: to}, nil
 }
 
 // evict closes the connection that has been idle for longest. The caller holds p.mu.
