--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -211,6 +211,25 @@
 	}
 }
 
+// Guards against settings under which backends never close a connection: each request opened a new one.
+func TestIdleForNever(t *testing.T) {
+	t.Parallel()
+	p := newPeer(t, echo)
+	c := config(t, newLists(t).addr, entry("s0", p.addr(), "SERVING"))
+	c.Settings.IdleClose = 0
+	a, _ := start(t, c, nil)
+	var from []string
+	for i := range 2 {
+		if resp, _ := ask(t, a, "GET", "/look", "", "X-Call-Id", id[:15]+string(rune('0'+i)), "X-Budget-Ms", "7000"); resp.StatusCode != 200 {
+			t.Fatalf("status %d", resp.StatusCode)
+		}
+		from = append(from, receive(t, p.got).RemoteAddr)
+	}
+	if from[0] != from[1] {
+		t.Error("two connections for two requests, one after the other")
+	}
+}
+
 // Guards against meeting the backend's own idle time-out: the agent closes first.
 func TestIdleTimeout(t *testing.T) {
 	p := newPeer(t, echo)
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -274,6 +275,40 @@
 	}
 }
 
+// Guards against a watch that is reset, before its answer or after a line: it is begun again from what is held.
+func TestWatchIsReset(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	l.(*net.TCPListener).SetDeadline(time.Now().Add(long))
+	c := config(t, l.Addr().String(), entry("s0", "127.0.0.1:1", "SERVING"))
+	c.Settings.Subscribe = false
+	c.Settings.ConnectTimeout = time.Millisecond // the unit of the wait
+	a, _ := start(t, c, script(func(time.Duration, saltmast.Event) []saltmast.Action { return nil }))
+	line := `{"version":2,"full":false,"servers":[` + entry("s0", "127.0.0.1:1", "DRAINING") + `]}`
+	for i, since := range []string{"1", "1", "2"} {
+		conn, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := r.URL.Query().Get("since"); got != since {
+			t.Errorf("watch %d since %q, want %q", i, got, since)
+		}
+		if i > 0 {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(line), line)
+			until(t, "the line", func() bool { _, ok := a.loop.back.table.serving("s0"); return !ok })
+		}
+		conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+}
+
 // Guards against a watch that falls silent or ends within a list, or that brings a list without end.
 func TestWatchStopsMidList(t *testing.T) {
 	for name, tt := range map[string]struct {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -24,6 +24,8 @@
 	longestWait = 3 * time.Second
 	killAfter   = 700 * time.Millisecond
 	stopMargin  = 300 * time.Millisecond
+	// idleForNever is how long connections to backends rest that never close one themselves.
+	idleForNever = time.Minute
 )
 
 // drainFor is how long after a stop was asked for all that is still open is answered.
@@ -109,7 +111,11 @@
 	if err != nil {
 		return nil, err
 	}
-	pool := newPool(c.Settings.IdleClose*3/4, c.Settings.ConnectTimeout, c.backendConns())
+	maxIdle := c.Settings.IdleClose * 3 / 4
+	if maxIdle == 0 {
+		maxIdle = idleForNever
+	}
+	pool := newPool(maxIdle, c.Settings.ConnectTimeout, c.backendConns())
 	table := &members{m: map[string]Server{}}
 	l := &Loop{clock: clock, s: c.Settings, bal: bal, log: log, in: make(chan any, 1024), done: make(chan struct{}),
 		ready: make(chan struct{}), open: map[string]*request{}, last: clock.Now() - c.Settings.Tick}
