Leave the old configuration in force if the new one's settings make no sense

parseConfig checked the form of the settings alone; what the module refuses at a start (no classes, no balancers, spans that overflow) passed on SIGHUP, and discovery moved to the address in such a file. It asks the module now, so both ways in refuse alike. 28 malformed files were given to the program by hand: each that is refused gets one line. Fails without the mend: TestSignalsDuringADrain, which replaces a good file by such a one. 10 runs under the race detector pass.

--- a/cmd/violetlatch/main_test.go
+++ b/cmd/violetlatch/main_test.go
@@ -192,9 +192,11 @@
 	}
 	cmd.Process.Signal(syscall.SIGTERM)
 	line(t, log, "msg=draining")
-	write("{")
-	cmd.Process.Signal(syscall.SIGHUP)
-	line(t, log, "the old configuration stays")
+	for _, bad := range []string{"{", strings.Replace(config(second), `"Balancers":1`, `"Balancers":0`, 1)} {
+		write(bad)
+		cmd.Process.Signal(syscall.SIGHUP)
+		line(t, log, "the old configuration stays")
+	}
 	write(config(second))
 	cmd.Process.Signal(syscall.SIGHUP)
 	expect(t, watched, "follow=1")
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -90,6 +90,9 @@
 	if c.Settings, c.Names, err = wire.ParseSettings(f.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if _, err := saltmast.New(c.Settings, c.Seed); err != nil { // read again while serving, it must not pass either
+		return nil, err
+	}
 	if f.Known != nil {
 		if c.Known, err = ParseListing(f.Known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
