Refuse at once what has less than half its expected latency left

Of the time-outs over nine in ten were of requests with 4 to 100 ms left, the median 27 ms, against 500 to 1,000 of usual clients and a mean latency of 40 to 80: from 8 to 16 s clients give up after some 5 to 100 ms and come again at once, 1,300 such attempts a second beside 4,500 requests. Servers finish what runs, so a quarter of the fleet's work went there while a third of the fleet was away. Of attempts with under a quarter of the expected latency left 10 in 100 were answered, with up to half 32 in 100, above that about half and more.

At fault: releaseHeld sent whatever found room, with any time left; retry asked only whether the wait ends before the deadline. Now neither a first nor a further attempt goes out with less than half the expected latency left; the request gets its answer at once instead. The bound on what a heavy request may ask for is that of held ones.

--- a/saltmast.go
+++ b/saltmast.go
@@ -62,9 +62,10 @@
 	// falls to: less would leave cores idle, and a start with more would crowd servers at once
 	backCap     = 3.0       // no backend holds more than so many mean shares of the limit
 	holdMargin  = 2.0       // a held request leaves when fewer than so many mean latencies remain to its aim
+	evenOdds    = 0.5       // mean latencies, uneven as they are, within which about half of the answers come
 	askTime     = 1.0 / 128 // of the time within which all must ask: what one call may take of discovery
 	sparePlaces = 0.125     // of the requests that may be open, kept free for those to come
-	holdAtMost  = 0.75      // of the aim; a request may always be held for the rest of it
+	holdAtMost  = 0.75      // of the aim: the most that either asks for, however heavy the request
 	repeatValue = 0.1       // value of a client's repeat against a first try: most of its aim has passed
 )
 
@@ -270,7 +271,7 @@
 	for float64(b.inFlight-b.stuck) < b.limit() && !b.throttled() {
 		best, value := -1, 0.0
 		for i, r := range b.held {
-			if r.passed || !b.inTurn(r) {
+			if r.passed || !b.inTurn(r) || b.hopeless(r, b.now) {
 				continue
 			}
 			if v := b.heldValue(r); best < 0 || v >= value {
@@ -290,11 +291,9 @@
 	}
 	for i := len(b.held) - 1; i >= 0; i-- {
 		r := b.held[i]
-		need := min(holdMargin*b.expected(r), holdAtMost*float64(b.classes[r.class].Aim))
-		give := min(r.aim, r.deadline) - time.Duration(need)
+		give := min(r.aim, r.deadline) - b.need(r, holdMargin)
 		r.passed = false
 		if r.repeat || give <= b.now {
-			b.unhold(r)
 			b.giveUp(r)
 		} else if r.timer == 0 {
 			b.timer(r, give)
@@ -309,14 +308,9 @@
 // of a burst that would be over at once some are given up that could have been served.
 func (b *Balancer) keepSpare() {
 	for b.s.MaxOpen > 0 && float64(b.taken) > (1-sparePlaces)*float64(b.s.MaxOpen) && len(b.held) > 0 {
-		worst := b.held[0]
-		for _, r := range b.held {
-			if b.heldValue(r) < b.heldValue(worst) {
-				worst = r
-			}
-		}
-		b.unhold(worst)
-		b.giveUp(worst)
+		b.giveUp(slices.MinFunc(b.held, func(x, y *request) int {
+			return cmp.Compare(b.heldValue(x), b.heldValue(y))
+		}))
 	}
 }
 
@@ -448,10 +442,7 @@
 			return t
 		}
 	}
-	if few != nil {
-		return few
-	}
-	return last // all are ejected: a first attempt still goes out
+	return cmp.Or(few, last) // the latter where all are ejected: a first attempt still goes out
 }
 
 // workingSet is how many backends this agent keeps connections to, if they answer well.
@@ -473,10 +464,7 @@
 // slowness is how much longer this backend takes than the mean, by its answers or
 // by the wait of its oldest attempt if that is worse (a stall shows before any answer).
 func (b *Balancer) slowness(t *backend) float64 {
-	s := t.slow
-	if s == 0 {
-		s = 1
-	}
+	s := cmp.Or(t.slow, 1)
 	for _, a := range t.out {
 		if a.sent > t.heard || t.cold {
 			return max(s, float64(b.now-a.sent)/a.cost/2)
@@ -512,6 +500,18 @@
 	return c.latency
 }
 
+// need is the time of so many mean latencies of r, within bounds.
+func (b *Balancer) need(r *request, means float64) time.Duration {
+	return time.Duration(min(means*b.expected(r), holdAtMost*float64(b.classes[r.class].Aim)))
+}
+
+// hopeless reports whether an attempt that goes out then would likelier be in vain than answered before the
+// client leaves. Guards against clients that wait a few milliseconds and come again at once: a third of the
+// fleet's work went into attempts for them that were over before their answers, on the day it was shortest.
+func (b *Balancer) hopeless(r *request, then time.Duration) bool {
+	return then+b.need(r, evenOdds) >= r.deadline
+}
+
 // ---- Retry ----
 
 // awaitSilence sets the time at which an attempt without answer is followed by another: when so few
@@ -540,7 +540,7 @@
 		backoffUnit * float64(c.Aim))
 	at := b.now + wait
 	may := func(t *backend) bool { return t.State == Up && b.mayRepeat(r, t) }
-	if !slices.ContainsFunc(b.backends, may) || b.tokens < cost || at >= r.deadline || res == NotSent {
+	if !slices.ContainsFunc(b.backends, may) || b.tokens < cost || b.hopeless(r, at) || res == NotSent {
 		b.giveUp(r)
 		return
 	}
@@ -552,6 +552,7 @@
 
 // giveUp ends a request for which nothing more can be done, unless an attempt may still answer it.
 func (b *Balancer) giveUp(r *request) {
+	b.unhold(r)
 	if r.open == 0 {
 		b.finish(r)
 	}
@@ -753,10 +754,8 @@
 // learnSpeed takes one latency, as a multiple of the expected, into a backend's slowness.
 // The first few weigh more, since a quiet agent sees an answer of each only now and then.
 func (b *Balancer) learnSpeed(t *backend, sample float64) {
-	if t.slow == 0 {
-		t.slow = 1
-	}
 	t.samples++
+	t.slow = cmp.Or(t.slow, 1)
 	t.slow += max(smooth, 1/(t.samples+priorSamples)) * (min(sample, slowBound) - t.slow)
 }
 
--- a/saltmast_test.go
+++ b/saltmast_test.go
@@ -1776,3 +1776,33 @@
 		t.Errorf("advice of %v to clients that are not shown it", slices.Max(waits))
 	}
 }
+
+// Guards against clients that wait a moment only and come again at once: each of their requests made a backend
+// work, in a fleet that was short of it, for an answer that nobody could still want.
+func TestHopelessRequestIsNotSent(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(4))
+	r.serve(200, safe, 100*ms)
+	for _, left := range []time.Duration{5 * ms, 20 * ms, 40 * ms} {
+		id := fmt.Sprint("short", left)
+		actions := r.step(saltmast.Request{ID: id, Class: safe, Left: left})
+		if len(actions) != 1 || actions[0] != (saltmast.Refuse{Request: id}) {
+			t.Errorf("%v left of a usual 100 ms: %v, want a refusal at once and nothing else", left, actions)
+		}
+	}
+	if r.step(saltmast.Request{ID: "likely", Class: safe, Left: 70 * ms}); len(r.sent["likely"]) != 1 {
+		t.Error("70 ms left of a usual 100 ms: not sent")
+	}
+	// However heavy it seems, a request with all its time goes out.
+	r.step(saltmast.Request{ID: "light", Class: safe, Left: 2000 * ms, Work: 10 * ms})
+	r.step(saltmast.Request{ID: "heavy", Class: safe, Left: 2000 * ms, Work: 10 * time.Second})
+	if len(r.sent["heavy"]) != 1 {
+		t.Error("a heavy request with all its time: not sent")
+	}
+	// Nor does a further attempt go out that comes too late.
+	r.step(saltmast.Request{ID: "again", Class: safe, Left: 400 * ms})
+	r.now += 360 * ms
+	r.outcome("again", saltmast.ConnectFailed, 360*ms)
+	if got := r.actions[len(r.actions)-1]; got != (saltmast.Refuse{Request: "again"}) {
+		t.Errorf("failed with 40 ms left of a usual 100 ms: %v, want a refusal at once", got)
+	}
+}
