Give cold servers turns that lapse, and learn nothing from clients that hardly wait

Seen, cold: from 10 to 14 s 45 to 119 cold servers answered 76 to 900 requests a second in 66 to 72 ms, 80 warm ones 2,050 to 2,320 in 200 to 280 ms, usual 75: newcomers idled beside crowded ones. Ruled out: the cold-start rule (in the worst window they got a twentieth to a third of what the settings allow, many modules played together) and refusals for lack of a cold server (none). At fault: pick takes a backend outside the working set only where the least loaded of the set has two attempts out, which a thin agent's hardly ever has; and coldRoom let each agent save up one request for each cold server, 350 together, while its rate rose at once as warm servers went (decayed work over fewer of them). With one server left of 100, 350 agents sent it 8.9 times what the settings and chance allow (30 agents on 30: 1.1 times). Now a cold server's turns come at random times at the rate that it may get, lapse after half a fall window, and count as part of the working set; work is booked per warm server as it is served, and stays known while none is warm. With no warm one the part is half the least limit, and no multiple is passed with the half window that may be saved.

Seen, hasty: of attempts for clients that wait under a third of the aim only the fast answers came back, so that latencies looked short while usual clients waited 300 to 560 ms; their time-outs ejected servers that were well. At fault: observe took both at face value. And half the mean is under the median: 0.7 of the mean is an exponential's.

A fleet of 350 agents on 30 servers, six in ten replaced, serves less in the new test's model than before (0.70 against 0.80): there an agent asks less often than its turns lapse.

--- /dev/null
+++ b/cold_test.go
@@ -0,0 +1,227 @@
+package saltmast_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"saltmast"
+)
+
+// fleetDay plays many balancers against backends of two cores each that start cold and warm up as slowly as
+// the settings allow.
+type fleetDay struct {
+	agents, backends int
+	started          int           // of the backends, so many start when the day is at its turn
+	gone             int           // and so many others are gone then
+	restart          bool          // all agents are started again at the turn, knowing nothing
+	load             float64       // of what the backends can do before the turn
+	work             time.Duration // of a request, on one core
+	turn, length     time.Duration
+}
+
+// fleetBackend serves what comes in turn.
+type fleetBackend struct {
+	saltmast.Backend
+	free [2]time.Duration // its cores
+	sent []time.Duration  // what came since it started
+}
+
+// due is something that happens to an agent.
+type due struct {
+	at    time.Duration
+	agent *fleetAgent
+	event saltmast.Event
+}
+
+type dues []due
+
+func (d dues) Len() int           { return len(d) }
+func (d dues) Less(i, j int) bool { return d[i].at < d[j].at }
+func (d dues) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)        { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+type fleetAgent struct {
+	b        *saltmast.Balancer
+	attempts map[string]int
+}
+
+// play returns the backends after the day, the requests that came after the turn and how many of them were served.
+func (f fleetDay) play(t *testing.T, s saltmast.Settings, seed uint64) (all []*fleetBackend, asked, served int) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 2))
+	s.Balancers = f.agents
+	now := time.Hour
+	turn, end := now+f.turn, now+f.length
+	byID := map[string]*fleetBackend{}
+	var list []saltmast.Backend
+	for i := range f.backends {
+		e := saltmast.Backend{ID: fmt.Sprint("b", i), Zone: 0}
+		list = append(list, e)
+		all = append(all, &fleetBackend{Backend: e})
+		byID[e.ID] = all[i]
+	}
+	start := func(a *fleetAgent, i int) {
+		s.Self = i
+		b, err := saltmast.New(s, rng.Uint64())
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.b, a.attempts = b, map[string]int{}
+	}
+	var queue dues
+	fleet, weights, sum := make([]*fleetAgent, f.agents), make([]float64, f.agents), 0.0
+	for i := range fleet {
+		fleet[i] = &fleetAgent{}
+		start(fleet[i], i)
+		heap.Push(&queue, due{now, fleet[i], saltmast.List{Kind: saltmast.ListCached, Backends: list}})
+		weights[i] = math.Exp(0.8 * rng.NormFloat64()) // some get several times the mean
+		sum += weights[i]
+	}
+	rate := f.load * 2 * float64(f.backends) / f.work.Seconds()
+	for at := now; at < end; at += time.Duration(rng.ExpFloat64() / rate * 1e9) {
+		u, i := rng.Float64()*sum, 0
+		for u -= weights[i]; u > 0; u -= weights[i] {
+			i++
+		}
+		heap.Push(&queue, due{at, fleet[i], saltmast.Request{ID: fmt.Sprint("q", at), Class: safe, Left: 2000 * ms}})
+		if at >= turn {
+			asked++
+		}
+	}
+	step := func(a *fleetAgent, events ...saltmast.Event) {
+		for _, act := range a.b.Step(now, events) {
+			switch act := act.(type) {
+			case saltmast.SetTimer:
+				heap.Push(&queue, due{now + act.After, a, saltmast.TimerFired{Token: act.Token}})
+			case saltmast.Send:
+				e := byID[act.Backend]
+				core := 0
+				if e.free[1] < e.free[0] {
+					core = 1
+				}
+				need := float64(f.work) * rng.ExpFloat64()
+				if e.Started > 0 {
+					e.sent = append(e.sent, now)
+					need /= warmth(s, now-e.Started)
+				}
+				e.free[core] = max(now, e.free[core]) + time.Duration(need)
+				o := saltmast.Outcome{Request: act.Request, Attempt: a.attempts[act.Request], Backend: act.Backend,
+					Result: saltmast.OK, Latency: e.free[core] - now}
+				a.attempts[act.Request]++
+				if left := 1900 * ms; o.Latency > left {
+					o.Result, o.Latency = saltmast.TimedOut, left
+				}
+				heap.Push(&queue, due{now + o.Latency, a, o})
+			}
+		}
+	}
+	turned := false
+	for len(queue) > 0 {
+		d := heap.Pop(&queue).(due)
+		now = max(now, d.at)
+		if !turned && now >= turn {
+			turned = true
+			for i, e := range all[:f.started+f.gone] {
+				if list[i].Started = turn; i >= f.started {
+					list[i].Started, list[i].State = 0, saltmast.Gone
+				}
+				e.Backend, e.free = list[i], [2]time.Duration{}
+			}
+			for i, a := range fleet {
+				if f.restart {
+					start(a, i)
+				}
+				// Each hears of it within a tick or two of the others.
+				heap.Push(&queue, due{turn + time.Duration(rng.Int64N(int64(10*ms))), a,
+					saltmast.List{Kind: saltmast.ListFull, Backends: list[: f.started+f.gone : f.started+f.gone]}})
+			}
+		}
+		if l, ok := d.event.(saltmast.List); ok && l.Kind == saltmast.ListFull {
+			l.Backends = nil
+			for _, e := range list {
+				if e.State != saltmast.Gone {
+					l.Backends = append(l.Backends, e)
+				}
+			}
+			d.event = l
+		}
+		if o, ok := d.event.(saltmast.Outcome); ok && o.Result == saltmast.OK && now >= turn { // some were asked before
+			served++
+		}
+		step(d.agent, d.event)
+	}
+	return all, asked, served
+}
+
+// warmth is the least that a backend may be able to do, so long after its start.
+func warmth(s saltmast.Settings, age time.Duration) float64 {
+	return min(1, s.ColdShare+(1-s.ColdShare)*float64(age)/float64(s.RampTime))
+}
+
+// pressure is the most that came to a cold backend within any fall window, against what the settings allow it
+// then and what is left to chance.
+func (f fleetDay) pressure(s saltmast.Settings, e *fleetBackend) (worst float64) {
+	first := 0
+	for i, at := range e.sent {
+		for at-e.sent[first] > s.FallWindow {
+			first++
+		}
+		n := s.FallMultiple * warmth(s, e.sent[first]-e.Started) * 2 * s.FallWindow.Seconds() / f.work.Seconds()
+		worst = max(worst, float64(i-first+1)/(n+2*math.Sqrt(n)+2))
+	}
+	return worst
+}
+
+// Guards against cold backends that all agents push over together, though none sends much, and against
+// newcomers that hardly get anything while what is left of the others is crowded.
+func TestColdBackendsBearAllAgentsTogether(t *testing.T) {
+	s := settings()
+	s.FallMultiple, s.FallWindow, s.ColdShare, s.RampTime = 3, 1500*ms, 0.32, 8600*ms
+	for _, tt := range []struct {
+		name          string
+		started, gone float64 // parts of the backends; of started ones at least one
+		restart       bool
+		served        float64 // the least part
+	}{
+		{"one joins", 0, 0, false, 0.95},
+		{"six in ten are replaced", 0.6, 0, false, 0.7},
+		{"one joins while six in ten go", 0, 0.6, false, 0.5},
+		{"one joins and all agents are started again", 0, 0, true, 0.95},
+		{"all are started again", 1, 0, false, 0.3},
+		{"all are started again, and all agents", 1, 0, true, 0.3},
+		{"one is left, which starts", 0, 1, false, 0},
+		{"one is left, which starts, and all agents do", 0, 1, true, 0},
+	} {
+		for _, agents := range []int{20, 30, 350} {
+			t.Run(fmt.Sprintf("%s/%d agents", tt.name, agents), func(t *testing.T) {
+				f := fleetDay{agents: agents, backends: 30, restart: tt.restart, load: 0.7, work: 60 * ms,
+					turn: 4 * time.Second, length: 10 * time.Second}
+				if agents > 100 {
+					f.backends = 100
+				}
+				f.started = max(1, int(tt.started*float64(f.backends)))
+				f.gone = min(int(tt.gone*float64(f.backends)), f.backends-f.started)
+				all, asked, served := f.play(t, s, uint64(agents))
+				worst := 0.0
+				for _, e := range all[:f.started] {
+					worst = max(worst, f.pressure(s, e))
+				}
+				if worst > 1 {
+					t.Errorf("a cold backend got %.2f times what the settings allow", worst)
+				}
+				if part := float64(served) / float64(asked); part < tt.served {
+					t.Errorf("%.2f of the requests were served, want %.2f", part, tt.served)
+				}
+			})
+		}
+	}
+}
--- a/saltmast.go
+++ b/saltmast.go
@@ -62,7 +62,7 @@
 	// falls to: less would leave cores idle, and a start with more would crowd servers at once
 	backCap     = 3.0       // no backend holds more than so many mean shares of the limit
 	holdMargin  = 2.0       // a held request leaves when fewer than so many mean latencies remain to its aim
-	evenOdds    = 0.5       // mean latencies, uneven as they are, within which about half of the answers come
+	evenOdds    = 0.7       // mean latencies within which half of the answers come: an exponential's median
 	askTime     = 1.0 / 128 // of the time within which all must ask: what one call may take of discovery
 	sparePlaces = 0.125     // of the requests that may be open, kept free for those to come
 	holdAtMost  = 0.75      // of the aim: the most that either asks for, however heavy the request
@@ -170,7 +170,7 @@
 	if e.Result == TimedOut || e.Result == Reset || e.Result == Cancelled {
 		r.rest = b.now + b.s.KeyRest
 	}
-	if b.neverRan(e.Result) {
+	if e.Result.NeverRan() && !(e.Result == Full && b.s.FullNoProof) {
 		if r.risky--; r.risky == 0 {
 			r.anchor = nil
 		}
@@ -394,11 +394,11 @@
 		// Departure: an even choice among idle backends would load slow ones as much as fast ones; each
 		// counts by the inverse cube of its observed slowness. Acts when speeds differ.
 		slow := b.slowness(t)
-		w := t.size() * b.warmth(t) / (slow * slow * slow)
+		w := cmp.Or(max(0, t.Weight), 1) / (slow * slow * slow) // without sizes all are alike
 		if t.Zone != b.s.Zone && !crowded {
 			w /= 1 + crossWeight*b.s.CrossZonePrice
 		}
-		place := t.rank / w
+		place := t.rank / w / b.warmth(t) // the draw needs no warmth: a cold one's turns have it
 		if b.isLinked(t) {
 			place *= stay
 		}
@@ -428,7 +428,7 @@
 			u = keyedDraw(c.t.hash, r.key)
 		}
 		kind := 2
-		if float64(i) < set || trusted {
+		if float64(i) < set || trusted || c.t.cold {
 			kind = 0
 		} else if linked {
 			kind = 1
@@ -453,14 +453,6 @@
 	return len(t.out) > 0 || t.linked && (b.s.IdleClose == 0 || b.now-t.usedAt < b.s.IdleClose)
 }
 
-// size is what the list says of a backend's size, against others; 1 where it says nothing.
-func (t *backend) size() float64 {
-	if t.Weight > 0 {
-		return t.Weight
-	}
-	return 1
-}
-
 // slowness is how much longer this backend takes than the mean, by its answers or
 // by the wait of its oldest attempt if that is worse (a stall shows before any answer).
 func (b *Balancer) slowness(t *backend) float64 {
@@ -509,7 +501,9 @@
 // client leaves. Guards against clients that wait a few milliseconds and come again at once: a third of the
 // fleet's work went into attempts for them that were over before their answers, on the day it was shortest.
 func (b *Balancer) hopeless(r *request, then time.Duration) bool {
-	return then+b.need(r, evenOdds) >= r.deadline
+	c := &b.classes[r.class]
+	known := b.now-c.heard <= time.Duration(throttleSpan*float64(c.Aim)) // what is known may be long past
+	return then >= r.deadline || known && then+b.need(r, evenOdds) >= r.deadline
 }
 
 // ---- Retry ----
@@ -580,11 +574,6 @@
 	return true
 }
 
-// neverRan reports whether a result proves that the attempt had no effect.
-func (b *Balancer) neverRan(res Result) bool {
-	return res.NeverRan() && !(res == Full && b.s.FullNoProof)
-}
-
 // ---- Order of a key ----
 
 // inTurn is the order rule: whether all that was taken for the key of r before it is over, each
@@ -639,6 +628,12 @@
 // observe learns from the outcome of an attempt.
 func (b *Balancer) observe(r *request, a *attempt, e Outcome) {
 	t, c, lat := a.b, &b.classes[r.class], float64(e.Latency)
+	// Of a client that waits only a moment, just the fast answers are seen: they say nothing of the usual
+	// latency, and their absence nothing of the backend.
+	hasty := r.deadline-a.sent < time.Duration(silentAfter*float64(c.Aim))
+	if hasty && e.Result == TimedOut {
+		return
+	}
 	// Incident iec25a3: agents stayed with the backends of a small fleet while it grew fivefold. One
 	// that turns work away or answers nothing leaves the working set, though still connected.
 	good := 0.0
@@ -666,13 +661,17 @@
 		}
 		t.down, t.fails = false, 0
 		b.failing -= smooth / 10 * b.failing
-		if !t.cold {
-			b.doneWork = b.decayed() + a.cost
+		if !t.cold { // each counts for its part of those that are warm now, many of which may be gone soon
+			b.doneWork = b.decayed() + a.cost/float64(max(b.warm, 1))
 		}
 		t.strikes = max(0, t.strikes-strikeHeal)
 		t.shuns[r.class] = shun{}
 		t.lastOK = b.now
 		t.seen = true
+		if hasty {
+			break
+		}
+		c.heard = b.now
 		b.learnSpeed(t, lat/a.cost)
 		if r.work > 0 && c.work > 0 {
 			lat *= c.work / r.work
@@ -720,10 +719,8 @@
 // open there that were then answered. A machine that vanishes leaves its connections open, so a dial without
 // any answer is no sign of life. Harm: one that dies with the resets lost on the way is found out later.
 func (b *Balancer) survived(t *backend, e Outcome) bool {
-	if e.Result == Errored || e.Result == ConnectFailed && e.Latency > b.s.ConnectTimeout/2 {
-		return false
-	}
-	return len(t.out) > 0 && t.out[0].sent < t.failedAt
+	mute := e.Result == ConnectFailed && e.Latency > b.s.ConnectTimeout/2
+	return e.Result != Errored && !mute && len(t.out) > 0 && t.out[0].sent < t.failedAt
 }
 
 // maySpare reports whether one more backend may be left out for errors. Seen on the long day: where half of
@@ -802,11 +799,8 @@
 	if b.now < t.ejected || b.silent(t) || b.now < t.shuns[r.class].till {
 		return false
 	}
-	if t.strikes == 0 {
-		return true
-	}
 	safe := b.classes[r.class].Effect != Unsafe || b.now >= 2*t.ejected-t.struckAt
-	return safe && len(t.out) == 0
+	return t.strikes == 0 || safe && len(t.out) == 0
 }
 
 // pace moves the limit on attempts in flight by the latency seen, as a share of the aim: down when the
@@ -850,7 +844,7 @@
 	if b.sparse(sparseBelow) {
 		return math.Inf(1)
 	}
-	return max(1, b.part())
+	return max(1, b.perBack*b.capacity/float64(b.s.Balancers))
 }
 
 // throttled reports whether too few of the requests sent lately were answered within their aim.
@@ -866,16 +860,12 @@
 	return floorPerBack*float64(b.up) < part*float64(b.s.Balancers)
 }
 
-func (b *Balancer) part() float64 { return b.perBack * b.capacity / float64(b.s.Balancers) }
-
 // ---- Cold start ----
 
 // start notes that a backend's process started at a time learned now.
 func (b *Balancer) start(t *backend, at time.Duration) {
 	t.warmFrom, t.cold, t.seen, t.slow, t.samples, t.linked = at, true, false, 0, 0, false
-	// The first request of each agent comes when a random part of its cost has been earned: with none
-	// to earn, a thousand quiet agents would each send one to a newcomer at once.
-	t.budget, t.budgetAt = -b.rng.Float64()*b.classes[0].latency, b.now
+	t.turn = b.now + b.untilTurn(t, b.classes[0].latency)
 }
 
 // warmth is the share of its full capacity that a backend surely has by now.
@@ -913,30 +903,40 @@
 	}
 }
 
-// coldRoom reports whether a cold backend may get this request: each agent sends it
-// no more work than what a warm one serves for it, times warmth, times the root of the
-// stated multiple. All together then stay as far below the multiple as they may be above
-// the sure capacity: most backends have more than that, and under overload it is needed.
+// coldRoom reports whether a cold backend may get this request. Its turns come at random times, so many as
+// make the work that a warm one does for this balancer, times warmth, times the root of the stated multiple:
+// most backends have more than their sure capacity, and under overload it is needed. Guards against turns
+// that are saved up: one for each of 350 agents, and a backend falls that none sends much to. A turn lapses
+// after half a fall window, so what all send within a window is at most the turns of one and a half.
 func (b *Balancer) coldRoom(t *backend, r *request) bool {
-	w := b.warmth(t)
-	if !t.cold {
+	lapse := b.s.FallWindow / 2
+	if b.warmth(t) == 1 || lapse == 0 {
 		return true
 	}
-	cost := b.expected(r)
 	mean := b.classes[r.class].latency
-	rate := b.decayed() / float64(b.s.FallWindow+1) / float64(max(b.warm, 1))
-	if b.warm == 0 { // no warm one to go by: its part of the least limit, or nothing would ever go out
-		rate = max(rate, floorPerBack/float64(b.s.Balancers))
-	}
-	share := w * math.Sqrt(max(1, b.s.FallMultiple))
-	t.budget = min(t.budget+share*rate*float64(b.now-t.budgetAt), mean)
-	t.budgetAt = b.now
-	return t.budget > 0 && cost <= heavy*mean
+	if t.turn+lapse <= b.now {
+		t.turn = b.now - lapse + b.untilTurn(t, mean)
+	}
+	return t.turn <= b.now && b.expected(r) <= heavy*mean
 }
 
-// decayed is the work lately served by warm backends, over about one fall window.
+// untilTurn draws how long a cold backend is left alone for so much work.
+func (b *Balancer) untilTurn(t *backend, work float64) time.Duration {
+	rate := max(b.decayed()/float64(b.s.FallWindow+1), 1e-9)
+	if b.warm == 0 { // no warm one to go by: its part of half the least limit, or nothing would ever go out
+		rate = max(rate, floorPerBack/2/float64(b.s.Balancers))
+	}
+	most := max(1, b.s.FallMultiple)
+	share := b.warmth(t) * min(math.Sqrt(most), most/1.5)
+	return time.Duration(min(b.rng.ExpFloat64()*work/(share*rate), float64(b.s.RampTime)))
+}
+
+// decayed is the work that a warm backend lately did for this balancer, over about one fall window. While
+// none is warm it stays: it is what their like can do.
 func (b *Balancer) decayed() float64 {
-	b.doneWork *= math.Exp(-float64(b.now-b.doneAt) / float64(b.s.FallWindow+1))
+	if b.warm > 0 {
+		b.doneWork *= math.Exp(-float64(b.now-b.doneAt) / float64(b.s.FallWindow+1))
+	}
 	b.doneAt = b.now
 	return b.doneWork
 }
@@ -1018,7 +1018,7 @@
 		b.sent++
 	}
 	if t.cold {
-		t.budget -= a.cost
+		t.turn = b.now + b.untilTurn(t, a.cost)
 	}
 	b.actions = append(b.actions, Send{Request: r.id, Backend: t.ID})
 	b.awaitSilence(r)
--- a/state.go
+++ b/state.go
@@ -45,8 +45,8 @@
 	inTime   float64 // ... and those answered within their aim
 	decayAt  time.Duration
 
-	doneWork float64 // decayed work that warm backends served
-	doneAt   time.Duration
+	doneWork float64       // decayed work that a warm backend served, in the mean of them ...
+	doneAt   time.Duration // ... by then
 	askFails int
 	askToken int64
 }
@@ -54,6 +54,7 @@
 type classState struct {
 	Class
 	latency  float64       // running mean of served latency, ns
+	heard    time.Duration // when that last learnt
 	freshOK  float64       // share answered in time by backends outside the working set ...
 	knownOK  float64       // ... and by those within
 	value    float64       // what a unit of work adds to the goal, in this step
@@ -85,8 +86,7 @@
 	usedAt   time.Duration // when that was last used
 	warmFrom time.Duration // when its latest start became known or seen
 	cold     bool
-	budget   float64 // work that may be sent while it is cold
-	budgetAt time.Duration
+	turn     time.Duration // when it may get a request while it is cold
 }
 
 // choice is a backend that may be picked.
