Ask discovery again so that a change is told within six seconds, also where lists are asked for

Read, and forced by the new test in seven ways, three times over: where lists are asked for, waits grew to AskWithin (askLater: a quarter of it, twice that after the first failure, all of it after the next), and a hung call was given up after 5 s (callTime). With AskWithin 10 s that is 5 + 10 s after discovery could be reached, and 2.5 + 5 s after a silent watch. Of watches where changes come unasked two silent ones took 6.0 s, with the grace for drains counted in.

A refusal tells that discovery could not be reached until then: 4 + 2 = 6 s. Unasked watches: 2.5 + 0.25 + 2.5 + 0.25 = 5.5 s for two silent ones, and the wait stays within a quarter of the grace for drains. 350 agents that lose their watches together ask 233 times a second and are all told in 3.5 s after the silence is found, with one call each, by a discovery that serves 110 a second (many modules together, fleet_test.go). Without any longer wait one that serves 80 agents at 10 a second no longer catches up, and no wait within 6 s could do that; at 16.7 a second it does.

--- a/api.go
+++ b/api.go
@@ -122,15 +122,17 @@
 	CPUPerSecond   time.Duration // CPU that an agent has in each second; 0: no limit
 	CPUPerRequest  time.Duration // mean CPU for a request with its outcomes; 0: no limit
 
-	DrainGrace   time.Duration // how long sends to a draining backend are still tolerated
-	AnswerGrace  time.Duration // how long after its deadline a final answer still counts
-	AskWithin    time.Duration // Subscribe: ask at least this often while not subscribed
-	ColdShare    float64       // a backend starts at this share of its capacity or more; 0: 1
-	RampTime     time.Duration // and is warm no later than this after its start
-	FallMultiple float64       // a cold backend sent more than this multiple of its capacity ...
-	FallWindow   time.Duration // ... over this span falls over
-	FullNoProof  bool          // an attempt that ended as Full may have run
-	KeyRest      time.Duration // KeepOrder: a key rests so long after a time-out, reset or cancel
+	DrainGrace    time.Duration // how long sends to a draining backend are still tolerated
+	AnswerGrace   time.Duration // how long after its deadline a final answer still counts
+	AskWithin     time.Duration // Subscribe: ask at least this often while not subscribed
+	AskSpread     time.Duration // Subscribe: ask no later than this after a start or failure; 0: AskWithin
+	RefusedSpread time.Duration // Subscribe: and than this after a refusal; 0: AskWithin
+	ColdShare     float64       // a backend starts at this share of its capacity or more; 0: 1
+	RampTime      time.Duration // and is warm no later than this after its start
+	FallMultiple  float64       // a cold backend sent more than this multiple of its capacity ...
+	FallWindow    time.Duration // ... over this span falls over
+	FullNoProof   bool          // an attempt that ended as Full may have run
+	KeyRest       time.Duration // KeepOrder: a key rests so long after a time-out, reset or cancel
 
 	// What the operator weighs: all, the worst span, the worst class, the worst tenant in its share.
 	GoalWhole, GoalWindow, GoalClass, GoalTenant float64
@@ -177,10 +179,11 @@
 type ListKind uint8
 
 const (
-	ListDelta  ListKind = iota // changed entries only
-	ListFull                   // all entries; a backend that is missing is gone
-	ListCached                 // all entries as last stored; may be stale
-	ListFailed                 // asking failed or the subscription broke; the old list holds
+	ListDelta   ListKind = iota // changed entries only
+	ListFull                    // all entries; a backend that is missing is gone
+	ListCached                  // all entries as last stored; may be stale
+	ListFailed                  // asking failed or the subscription broke; the old list holds
+	ListRefused                 // asking was answered with a refusal; the old list holds
 )
 
 type (
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -30,11 +30,15 @@
 }
 
 // askTogether starts n balancers at one moment and returns how many have the list after the span, and how
-// many calls that took.
-func askTogether(t *testing.T, n int, d *listService, span time.Duration) (listed, calls int) {
+// many calls that took. What each may wait at the most is spread; 0: no more is told.
+func askTogether(t *testing.T, n int, spread time.Duration, d *listService, span time.Duration) (listed, calls int) {
 	t.Helper()
 	s := settings()
-	s.Subscribe, s.Balancers = true, n
+	s.Subscribe, s.Balancers, s.AskSpread, s.RefusedSpread = true, n, spread, 8*spread/3
+	failed := saltmast.ListFailed
+	if spread > 0 {
+		failed = saltmast.ListRefused
+	}
 	type answer struct {
 		at time.Duration
 		ok bool
@@ -49,7 +53,7 @@
 			actions := r.advance(start + at - r.now)
 			if a := answers[i]; a != nil && a.at <= r.now {
 				answers[i] = nil
-				e := saltmast.List{Kind: saltmast.ListFailed}
+				e := saltmast.List{Kind: failed}
 				if done[i] = a.ok; a.ok {
 					e = saltmast.List{Kind: saltmast.ListFull, Backends: backends(2)}
 				}
@@ -80,14 +84,17 @@
 		name   string
 		agents int
 		work   time.Duration
+		spread time.Duration
 	}{
-		{"a large fleet", 80, 60 * ms},
-		{"a very large one", 300, 16 * ms},
-		{"a slow discovery", 80, 100 * ms},
+		{"a large fleet", 80, 60 * ms, 0},
+		{"a very large one", 300, 16 * ms, 0},
+		{"a slow discovery", 80, 100 * ms, 0},
+		{"a large fleet in haste", 80, 60 * ms, 1500 * ms},
+		{"a very large one in haste", 300, 16 * ms, 1500 * ms},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			d := &listService{work: tt.work, patience: 2 * time.Second, queue: 5 * time.Second}
-			listed, calls := askTogether(t, tt.agents, d, 4*s.AskWithin)
+			listed, calls := askTogether(t, tt.agents, tt.spread, d, 4*s.AskWithin)
 			if listed < tt.agents {
 				t.Errorf("%d of %d have the list after %v and %d calls", listed, tt.agents, 4*s.AskWithin, calls)
 			}
@@ -95,9 +102,15 @@
 	}
 	// A few have nothing to spread out, and what they hold may be old.
 	d := &listService{work: 60 * ms, patience: 2 * time.Second, queue: 5 * time.Second}
-	if listed, _ := askTogether(t, 4, d, s.AskWithin/16); listed < 4 {
+	if listed, _ := askTogether(t, 4, 0, d, s.AskWithin/16); listed < 4 {
 		t.Errorf("%d of 4 have the list after %v", listed, s.AskWithin/16)
 	}
+	// A fleet of 350 whose watches break together has its lists in time, from a discovery that can serve it in that
+	// time at all, and none asks twice: 1.5 s of waits and 2 s of turns after the 2.5 s in which a silence is found.
+	d = &listService{work: 9 * ms, patience: 2 * time.Second, queue: 5 * time.Second}
+	if listed, calls := askTogether(t, 350, 1500*ms, d, 3500*ms); listed < 350 || calls > 350 {
+		t.Errorf("%d of 350 have the list after 3.5 s and %d calls", listed, calls)
+	}
 }
 
 // Guards against agents that stay with what they are connected to while backends join, or a zone comes back:
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -22,10 +22,24 @@
 	// that was cut off says nothing at all. What a silent watch misses counts as told 6 s after it fell silent:
 	// by then the next one must have brought it, even if that one is silent from its start.
 	watchSilence = 2500 * time.Millisecond
-	// callTime is the longest that a call may take. Where discovery must be asked, calls wait in turn.
-	callTime = 5 * time.Second
+	// callTime is the longest that a call may take to be answered. Where discovery must be asked, calls wait in turn,
+	// for turnTime at the most before they are turned away.
+	callTime = 2500 * time.Millisecond
+	turnTime = 2 * time.Second
+	// toldWithin is when a change counts as told at the latest after discovery had it and could be reached, whatever
+	// became of the calls before: a watch that fell silent or a call that hung, the wait after it and the next
+	// call's turn fit in it. One that was refused tells that discovery could not be reached until then.
+	toldWithin    = 6 * time.Second
+	askSpread     = toldWithin - max(watchSilence, callTime) - turnTime
+	refusedSpread = toldWithin - turnTime
+	// resumeWithin is the longest wait before an unasked watch, whose calls end on this machine: two silent ones
+	// in a row, the waits after them and the next fit in toldWithin.
+	resumeWithin = (toldWithin - watchSilence - callTime) / 4
 )
 
+// errRefused marks a call that discovery answered with a refusal.
+var errRefused = errors.New("discovery answered")
+
 const maxListing = 8 << 20 // bytes of one list or line
 
 // Server is one entry of discovery's list.
@@ -255,12 +269,20 @@
 			if d.unasked {
 				d.resume(parent)
 			} else {
-				d.post(saltmast.List{Kind: saltmast.ListFailed})
+				d.post(failure(err))
 			}
 		}
 	}()
 }
 
+// failure is what the module hears of a call that failed.
+func failure(err error) saltmast.List {
+	if errors.Is(err, errRefused) {
+		return saltmast.List{Kind: saltmast.ListRefused}
+	}
+	return saltmast.List{Kind: saltmast.ListFailed}
+}
+
 // resume begins an unasked watch again after an exponential, fully jittered wait, unless another began meanwhile.
 // A watch of an address from which discovery has moved away does not count.
 func (d *discovery) resume(ctx context.Context) {
@@ -329,7 +351,7 @@
 	go func() {
 		if err := d.list(ctx); err != nil && ctx.Err() == nil {
 			d.log.Warn("list call failed", "err", err)
-			d.post(saltmast.List{Kind: saltmast.ListFailed})
+			d.post(failure(err))
 		}
 	}()
 }
@@ -369,7 +391,7 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		resp.Body.Close()
-		return nil, fmt.Errorf("discovery answered %s", resp.Status)
+		return nil, fmt.Errorf("%w %s", errRefused, resp.Status)
 	}
 	return resp, nil
 }
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -422,6 +423,78 @@
 	until(t, "the list of the new address", func() bool { _, ok := a.loop.back.table.serving("s7"); return ok })
 }
 
+// What discovery may do to a call before it serves the next one.
+var calls = map[string]http.HandlerFunc{
+	"refused": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+	"hung":    func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+	"silent from its start": func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	},
+	"broken off": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+	"ended":      func(w http.ResponseWriter, _ *http.Request) { w.(http.Flusher).Flush() },
+	"cut within a list": func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, `{"version":2,"full":true,"serv`)
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	},
+	"malformed": func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "}\n") },
+}
+
+// Guards the bound on when a change arrives, whatever became of the calls before: after each kind of failure,
+// three times over, the next call comes within the wait that the bound allows, and its list counts. The waits are
+// those of the real module; the time that a silent call takes is its own bound's matter.
+func TestToldWhateverBecameOfTheCalls(t *testing.T) {
+	for name, do := range calls {
+		for _, asked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/asked %v", name, asked), func(t *testing.T) {
+				t.Parallel()
+				var n atomic.Int32
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if n.Add(1) <= 3 {
+						do(w, r)
+						return
+					}
+					fmt.Fprintf(w, `{"version":9,"full":true,"servers":[%s]}`+"\n", entry("s7", "127.0.0.1:7", "SERVING"))
+					w.(http.Flusher).Flush()
+					<-r.Context().Done()
+				})}
+				go s.Serve(l)
+				t.Cleanup(func() { s.Close() })
+				c := config(t, l.Addr().String(), entry("s0", "127.0.0.1:1", "SERVING"))
+				c.Settings.Subscribe, c.Settings.Balancers = asked, 350
+				c.Settings.AskWithin = time.Minute // the waits come from the bound
+				a, _ := startWith(t, c, func(a *Agent) {
+					a.loop.disc.silence, a.loop.disc.calling = 50*time.Millisecond, 50*time.Millisecond
+				})
+				until(t, "the list", func() bool { _, ok := a.loop.back.table.serving("s7"); return ok })
+			})
+		}
+	}
+}
+
+// Guards against calls that are worked on after they were given up, and against a bound that leaves no time for
+// the next call's turn.
+func TestAskedCallsAreToldInTime(t *testing.T) {
+	c := config(t, "127.0.0.1:1")
+	c.Settings.Subscribe = true
+	l, err := newLoop(c, NewClock(), logTo(&capture{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := l.disc; d.calling <= turnTime || d.silence <= 2*time.Second {
+		t.Errorf("calls end after %v, silent watches after %v: while they wait in turn, or before a line is due",
+			d.calling, d.silence)
+	}
+	if worst := max(l.disc.silence, l.disc.calling) + askSpread + turnTime; worst > 6*time.Second || askSpread <= 0 {
+		t.Errorf("a silent watch or a hung call, a wait of %v and the next call's turn take %v", askSpread, worst)
+	}
+}
+
 // Guards the bound on what a silent watch may miss: it and one more that is silent from its start must be over
 // before the 6 s after which that counts as told, and the waits between them within the grace for drains.
 func TestSilenceEndsInTime(t *testing.T) {
@@ -432,9 +505,13 @@
 		t.Fatal(err)
 	}
 	d := l.disc
-	if worst := d.silence + d.calling + 2*d.longest; worst > 6*time.Second+c.Settings.DrainGrace {
+	// Half a second is left for the next one, which a machine that is late may take.
+	if worst := d.silence + d.calling + 2*d.longest; worst > 5500*time.Millisecond {
 		t.Errorf("two silent watches take %v", worst)
 	}
+	if d.longest > c.Settings.DrainGrace/4 {
+		t.Errorf("a wait of %v between two watches, where sends to what drains are borne for %v", d.longest, c.Settings.DrainGrace)
+	}
 	if d.silence <= 2*time.Second {
 		t.Errorf("%v is too short for an empty line every 2 s", d.silence)
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -106,7 +106,7 @@
 
 func newLoop(c *Config, clock Clock, log *slog.Logger) (*Loop, error) {
 	settings := c.Settings
-	settings.MaxOpen = c.openRequests()
+	settings.MaxOpen, settings.AskSpread, settings.RefusedSpread = c.openRequests(), askSpread, refusedSpread
 	bal, err := saltmast.New(settings, c.Seed)
 	if err != nil {
 		return nil, err
@@ -124,10 +124,7 @@
 	l.disc = &discovery{addr: c.Discovery, client: newListClient(), table: table,
 		stale: pool.retire, post: l.post, silence: watchSilence, calling: callTime, event: lister(c, clock), log: log,
 		unasked: !c.Settings.Subscribe, unit: max(c.Settings.ConnectTimeout, 10*time.Millisecond),
-		longest: max(c.Settings.DrainGrace/4, 10*time.Millisecond), rng: rand.New(rand.NewPCG(c.Seed, 1))}
-	if l.disc.unasked { // it comes from this machine, at once
-		l.disc.calling = watchSilence
-	}
+		longest: min(max(c.Settings.DrainGrace/4, 10*time.Millisecond), resumeWithin), rng: rand.New(rand.NewPCG(c.Seed, 1))}
 	known := c.Known
 	known.Full = true
 	l.disc.version = known.Version
--- a/saltmast.go
+++ b/saltmast.go
@@ -373,8 +373,7 @@
 	}
 	trusted := b.s.WarmKeys && b.classes[r.class].freshOK >= b.classes[r.class].knownOK-trustGap
 	var few, last *backend
-	far := math.Inf(1)
-	least, mild := far, far
+	far, least, mild := math.Inf(1), math.Inf(1), math.Inf(1)
 	b.choices = b.choices[:0]
 	for _, t := range b.backends {
 		load := b.load(t)
@@ -944,18 +943,16 @@
 // ---- List following ----
 
 func (b *Balancer) onList(e List) {
-	if e.Kind == ListFailed {
-		if b.s.Subscribe {
-			b.askFails++
-			b.askLater()
-		}
-		return
-	}
-	if e.Kind == ListCached && b.s.Subscribe {
-		b.askLater()
-	} else {
+	failed := e.Kind == ListFailed || e.Kind == ListRefused
+	if b.askFails++; !failed {
 		b.askFails = 0
 	}
+	if b.s.Subscribe && (failed || e.Kind == ListCached) {
+		b.askLater(e.Kind == ListRefused)
+	}
+	if failed {
+		return
+	}
 	full := e.Kind != ListDelta
 	listed := map[string]bool{}
 	for _, n := range e.Backends {
@@ -991,10 +988,16 @@
 // askLater asks for the list after a fully jittered wait. Guards against agents that start together, or lose
 // their lists together: discovery serves so many calls a second, and works on those that have waited in vain
 // too; asked by 80 within a moment, and again while still at that, it served nobody for the rest of the day.
-// So the spread grows with the number of those who ask, and with each failure. Harm: lists come later.
-func (b *Balancer) askLater() {
+// So the spread grows with the number of those who ask, and with each failure, up to the longest wait that
+// lets a change arrive in time. Harm: lists come later.
+func (b *Balancer) askLater(refused bool) {
 	spread := min(askTime*float64(b.s.Balancers), 0.25) * math.Exp2(float64(min(b.askFails, 4)))
-	b.askToken = b.alarm(time.Duration(b.rng.Float64() * min(spread, 1) * float64(b.s.AskWithin)))
+	most := b.s.AskSpread
+	if refused { // by then it could not be reached
+		most = b.s.RefusedSpread
+	}
+	most = min(cmp.Or(most, b.s.AskWithin), b.s.AskWithin)
+	b.askToken = b.alarm(time.Duration(b.rng.Float64() * min(spread*float64(b.s.AskWithin), float64(most))))
 }
 
 // ---- Attempts and final answers ----
@@ -1064,8 +1067,6 @@
 }
 
 func blend(mean, sample float64) float64 {
-	if mean == 0 {
-		return sample
-	}
+	mean = cmp.Or(mean, sample)
 	return mean + smooth*(sample-mean)
 }
--- a/settings.go
+++ b/settings.go
@@ -62,7 +62,8 @@
 		name string
 		d    time.Duration
 	}{{"Tick", s.Tick}, {"MaxRetryAfter", s.MaxRetryAfter}, {"ConnectTimeout", s.ConnectTimeout}, {"IdleClose", s.IdleClose},
-		{"DrainGrace", s.DrainGrace}, {"AnswerGrace", s.AnswerGrace}, {"AskWithin", s.AskWithin},
+		{"DrainGrace", s.DrainGrace}, {"AnswerGrace", s.AnswerGrace}, {"AskWithin", s.AskWithin}, {"AskSpread", s.AskSpread},
+		{"RefusedSpread", s.RefusedSpread},
 		{"RampTime", s.RampTime}, {"FallWindow", s.FallWindow}, {"KeyRest", s.KeyRest},
 		{"CPUPerSecond", s.CPUPerSecond}, {"CPUPerRequest", s.CPUPerRequest}} {
 		if f.d < 0 {
