Keep descriptors for discovery where none are told, and get ready without a list

Descriptors: forced with an agent as a process of its own under `ulimit -n 64`, 192 clients that say nothing or ask once, stay, and come back as they are closed, and a discovery that is silent and returns. With none told clients took all: nobody was served for 22 s, since clientConns of no limit is no bound. LoadConfig now takes the system's limit where it is less, or none is told; shares are rounded up, since half of one descriptor meant no bound.

Ready: /healthz waited for a list with a serving backend. An agent that knew none and met a discovery that is down was not ready for as long as that took. After 5 s it now says that it is, and refuses. One that knows backends was ready at its first step, with 350 of them started beside a silent discovery: kept already.

Gone: the lookup right before the first byte holds behind a busy loop too, whichever way the client left (new test; kept already). Size: 2,000 servers, all replaced by one list, and 2,000 agents: served with one connection and goroutines by need (new test; kept already).

--- a/cmd/violetlatch/main_test.go
+++ b/cmd/violetlatch/main_test.go
@@ -11,6 +11,8 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -102,7 +104,12 @@
 // process starts the agent and hands out its log by lines.
 func process(t *testing.T, config string) (cmd *exec.Cmd, log *bufio.Scanner) {
 	t.Helper()
-	cmd = exec.Command(os.Args[0])
+	return started(t, config, exec.Command(os.Args[0]))
+}
+
+// started starts a command that ends in the agent.
+func started(t *testing.T, config string, cmd *exec.Cmd) (_ *exec.Cmd, log *bufio.Scanner) {
+	t.Helper()
 	cmd.Env = append(os.Environ(), "VIOLETLATCH_TEST_PROCESS=1", "GW_CONFIG="+config)
 	out, err := cmd.StderrPipe()
 	if err != nil {
@@ -215,3 +222,94 @@
 		t.Errorf("it ends with %v", err)
 	}
 }
+
+// Guards against clients that fill the descriptors while discovery is down, those that say nothing as well as
+// those that ask once and stay: the watch at its return, the backends and the next client must still get theirs.
+func TestIdleClientsLeaveDescriptors(t *testing.T) {
+	const allowed = 64
+	for _, limits := range []string{fmt.Sprintf(`"limits":{"sockets":%d},`, allowed), ""} { // told, or not told
+		t.Run(limits, func(t *testing.T) {
+			t.Parallel()
+			back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") }))
+			t.Cleanup(back.Close)
+			server := strings.TrimPrefix(back.URL, "http://")
+			var up atomic.Bool
+			disc := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if up.Load() { // else it is silent
+					fmt.Fprintf(w, `{"version":7,"full":true,"servers":[{"id":"s0","addr":%q,"state":"SERVING"}]}`+"\n", server)
+					w.(http.Flusher).Flush()
+				}
+				<-r.Context().Done()
+			}))
+			t.Cleanup(disc.Close)
+			path := filepath.Join(t.TempDir(), "config.json")
+			config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1",`+limits+settings,
+				strings.TrimPrefix(disc.URL, "http://"), 3000)
+			if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, log := started(t, path, exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0"`, allowed), os.Args[0]))
+			_, addr, _ := strings.Cut(line(t, log, "msg=serving"), "listen=")
+			addr = strings.TrimSpace(addr)
+			go func() {
+				for log.Scan() {
+				}
+			}()
+			ask := func(i int) string {
+				return fmt.Sprintf("POST /a HTTP/1.1\r\nHost: x\r\nX-Call-Id: %016x\r\nX-Budget-Ms: 3000\r\n\r\n", i)
+			}
+			stop := make(chan struct{})
+			var filled, gone sync.WaitGroup
+			filled.Add(3 * allowed)
+			for i := range 3 * allowed {
+				gone.Go(func() { // each comes back as its connection ends
+					first := sync.OnceFunc(filled.Done)
+					defer first()
+					for {
+						client, err := net.Dial("tcp", addr)
+						if err != nil {
+							return
+						}
+						if i%2 == 0 {
+							io.WriteString(client, ask(i))
+						}
+						first()
+						ended := make(chan struct{})
+						go func() {
+							io.Copy(io.Discard, client)
+							close(ended)
+						}()
+						select {
+						case <-ended:
+							client.Close()
+						case <-stop:
+							client.Close()
+							return
+						}
+					}
+				})
+			}
+			defer gone.Wait()
+			defer close(stop)
+			filled.Wait()
+			up.Store(true)
+			for i, end := 1000, time.Now().Add(long); ; i++ {
+				client, err := net.Dial("tcp", addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				client.SetDeadline(time.Now().Add(long))
+				io.WriteString(client, ask(i))
+				resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+				client.Close()
+				if err == nil && resp.StatusCode == http.StatusOK {
+					return
+				}
+				if time.Now().After(end) {
+					t.Fatalf("nobody is served after discovery is back: %v, %v", resp, err)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -43,6 +45,60 @@
 	}
 }
 
+// Guards against agents that are not ready for as long as discovery is down: one that knows backends is ready at
+// its start, one that knows none soon after it, and says so to the application by its refusals.
+func TestReadyWhileDiscoveryIsDown(t *testing.T) {
+	t.Parallel()
+	down := newPeer(t, hang).addr()
+	p := newPeer(t, echo)
+	const fleet = 350 // started together
+	for i := range fleet {
+		c := config(t, down, entry("s0", p.addr(), "SERVING"))
+		c.Settings.Subscribe, c.Settings.Balancers, c.Settings.Self = i%2 == 0, fleet, i
+		a, _ := startWith(t, c, func(a *Agent) { a.acceptFor = time.Millisecond })
+		if resp, _ := ask(t, a, "GET", "/healthz", ""); resp.StatusCode != 200 {
+			t.Fatalf("agent %d: healthz %d with backends known", i, resp.StatusCode)
+		}
+	}
+	a, _ := startWith(t, config(t, down), func(a *Agent) { a.front.listed = time.Now() })
+	if resp, _ := ask(t, a, "GET", "/healthz", ""); resp.StatusCode != 200 {
+		t.Errorf("healthz %d with no backend known after the wait for a list", resp.StatusCode)
+	}
+	if wait := time.Until(newFront(config(t, down), a.loop).listed); wait > 8*time.Second {
+		t.Errorf("that wait is %v", wait)
+	}
+}
+
+// Guards against bounds on the size of a fleet, and against memory for those of it that one never meets.
+func TestLargeFleet(t *testing.T) {
+	t.Parallel()
+	p, d := newPeer(t, echo), newLists(t)
+	const size = 2000
+	list := make([]string, size)
+	for i := range list {
+		list[i] = entry(fmt.Sprint("s", i), p.addr(), "SERVING")
+	}
+	c := config(t, d.addr, list...)
+	c.Settings.Balancers, c.Settings.Self = size, size-1
+	before := runtime.NumGoroutine()
+	a, _ := start(t, c, nil)
+	for i := range size {
+		list[i] = entry(fmt.Sprint("s", size+i), p.addr(), "SERVING")
+	}
+	receive(t, d.watch)
+	d.say <- `{"version":2,"full":true,"servers":[` + strings.Join(list, ",") + `]}`
+	until(t, "the list", func() bool { _, ok := a.loop.back.table.serving(fmt.Sprint("s", 2*size-1)); return ok })
+	if resp, _ := ask(t, a, "POST", "/settle", "", "X-Call-Id", id, "X-Budget-Ms", "7000"); resp.StatusCode != 200 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	if n := a.loop.back.pool.count(); n > 1 {
+		t.Errorf("%d connections for one request", n)
+	}
+	if n := runtime.NumGoroutine() - before; n > size/2 { // other tests run beside this one
+		t.Errorf("%d goroutines for one agent and one request", n)
+	}
+}
+
 // Guards against input that is no request: each is answered, none reaches a backend.
 func TestBadInput(t *testing.T) {
 	t.Parallel()
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -6,11 +6,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"strconv"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"saltmast"
 	"saltmast/internal/wire"
 )
@@ -30,8 +33,8 @@
 
 // clientConns and backendConns share out the descriptors: half to clients, of whom more wait than are
 // out at backends when all is crowded; three eighths to backends. The rest is room.
-func (c *Config) clientConns() int  { return c.Sockets / 2 }
-func (c *Config) backendConns() int { return c.Sockets * 3 / 8 }
+func (c *Config) clientConns() int  { return (c.Sockets + 1) / 2 }
+func (c *Config) backendConns() int { return (c.Sockets*3 + 7) / 8 }
 
 // openRequests is how many requests may be open, for the module to keep some of that free: what the settings
 // allow, and no more than clients can hold, to whom a third of the descriptors goes for requests, each on a
@@ -54,9 +57,25 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if c.Sockets, err = descriptors(c.Sockets); err != nil {
+		return nil, err
+	}
 	return c, nil
 }
 
+// descriptors is how many the process may hold: what it was told, or what the system allows if that is less. Without
+// a bound clients could take them all, and discovery and backends would get none.
+func descriptors(told int) (int, error) {
+	var system unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &system); err != nil {
+		return 0, fmt.Errorf("limit on descriptors: %w", err)
+	}
+	if system.Cur < math.MaxInt32 && (told == 0 || int(system.Cur) < told) {
+		return int(system.Cur), nil
+	}
+	return told, nil
+}
+
 func parseConfig(raw []byte) (*Config, error) {
 	var f struct {
 		Name, Listen, Discovery, Seed string
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -21,6 +21,9 @@
 	lingerMost = 256 << 10
 	// lookEvery is how often a client is looked after that net/http may not see leave.
 	lookEvery = 100 * time.Millisecond
+	// listWithin is how long an agent that knows no backend waits for discovery before it says that it is ready all
+	// the same: while discovery is down, its refusals are a better answer to the application than silence.
+	listWithin = 5 * time.Second
 	// maxBudget is the longest that a client may be willing to wait.
 	maxBudget = time.Hour
 )
@@ -34,10 +37,12 @@
 	draining atomic.Bool
 	linger   time.Duration // see lingerTime
 	crowded  func() bool   // whether clients' connections run short
+	listed   time.Time     // ready from then on, with a list or without
 }
 
 func newFront(c *Config, loop *Loop) *front {
-	f := &front{loop: loop, classes: map[string]int{}, tenants: c.Names.Tenants, settings: c.Settings, linger: lingerTime}
+	f := &front{loop: loop, classes: map[string]int{}, tenants: c.Names.Tenants, settings: c.Settings, linger: lingerTime,
+		listed: time.Now().Add(listWithin)}
 	for i, name := range c.Names.Classes {
 		f.classes[name] = i
 	}
@@ -122,7 +127,7 @@
 func (f *front) health(w http.ResponseWriter) {
 	select {
 	case <-f.loop.ready:
-		if !f.draining.Load() && f.loop.back.table.any() {
+		if !f.draining.Load() && (f.loop.back.table.any() || !time.Now().Before(f.listed)) {
 			io.WriteString(w, "ok\n")
 			return
 		}
--- a/internal/agent/leave_test.go
+++ b/internal/agent/leave_test.go
@@ -92,6 +92,39 @@
 	})
 }
 
+// Guards against a request that goes out from behind a busy loop, which has yet to hear that its client has left.
+func TestLeavesBehindABusyLoop(t *testing.T) {
+	leaving(t, func(t *testing.T, dial func(*Agent, string) *net.TCPConn, leave func(*net.TCPConn)) {
+		p := newPeer(t, echo)
+		busy, gate, ended := make(chan struct{}), make(chan struct{}), make(chan saltmast.Result, 10)
+		a, _ := start(t, config(t, newLists(t).addr, entry("s0", p.addr(), "SERVING")),
+			script(func(_ time.Duration, e saltmast.Event) []saltmast.Action {
+				switch e := e.(type) {
+				case saltmast.Request:
+					if e.ID == id {
+						close(busy)
+						<-gate
+						return []saltmast.Action{saltmast.Send{Request: id, Backend: "s0"}}
+					}
+				case saltmast.Outcome:
+					ended <- e.Result
+				}
+				return nil
+			}))
+		c := dial(a, get(id))
+		receive(t, busy)
+		leave(c)
+		until(t, "the leave", a.loop.open[id].q.left) // the loop is held, nothing else is in the table
+		close(gate)
+		if res := receive(t, ended); res != saltmast.NotSent {
+			t.Errorf("result %d of a send after its client had left", res)
+		}
+		if len(p.got) != 0 {
+			t.Error("a request went out after its client had left")
+		}
+	})
+}
+
 // Guards against a request that goes out on a connection that came up after its client had left.
 func TestLeavesDuringADial(t *testing.T) {
 	leaving(t, func(t *testing.T, dial func(*Agent, string) *net.TCPConn, leave func(*net.TCPConn)) {
