--- a/saltmast.go
+++ b/saltmast.go
@@ -629,7 +629,7 @@
 	t, c, lat := a.b, &b.classes[r.class], float64(e.Latency)
 	// Of a client that waits only a moment, just the fast answers are seen: they say nothing of the usual
 	// latency, and their absence nothing of the backend.
-	hasty := r.deadline-a.sent < time.Duration(silentAfter*float64(c.Aim))
+	hasty := r.deadline-a.sent < time.Duration(silentAfter*float64(min(c.Aim, c.Deadline)))
 	if hasty && e.Result == TimedOut {
 		return
 	}
--- a/saltmast_test.go
+++ b/saltmast_test.go
@@ -1841,3 +1841,29 @@
 		t.Error("a minute after the last answer: not sent")
 	}
 }
+
+// Guards against settings whose deadlines are far below the aims: their usual clients are not hasty, and a backend
+// that hangs is found out by their time-outs.
+func TestShortDeadlinesAreNotHaste(t *testing.T) {
+	s := settings()
+	for i := range s.Classes {
+		s.Classes[i].Deadline = 100 * ms
+	}
+	r := newRig(t, s, 1, backends(4))
+	hung := 0
+	for i := range 60 {
+		id := fmt.Sprint("q", i)
+		r.step(saltmast.Request{ID: id, Class: unsafe, Left: 100 * ms})
+		if r.sent[id][0] == "a" {
+			hung++
+			r.now += 100 * ms
+			r.step(saltmast.Outcome{Request: id, Backend: "a", Result: saltmast.TimedOut, Latency: 100 * ms, Done: true})
+			continue
+		}
+		r.now += 10 * ms
+		r.outcome(id, saltmast.OK, 10*ms)
+	}
+	if hung > 10 {
+		t.Errorf("%d of 60 went to a backend that hangs", hung)
+	}
+}
