--- a/saltmast.go
+++ b/saltmast.go
@@ -393,11 +393,11 @@
 		// Departure: an even choice among idle backends would load slow ones as much as fast ones; each
 		// counts by the inverse cube of its observed slowness. Acts when speeds differ.
 		slow := b.slowness(t)
-		w := cmp.Or(max(0, t.Weight), 1) / (slow * slow * slow) // without sizes all are alike
+		w := cmp.Or(max(0, t.Weight), 1) * b.warmth(t) / (slow * slow * slow) // without sizes all are alike
 		if t.Zone != b.s.Zone && !crowded {
 			w /= 1 + crossWeight*b.s.CrossZonePrice
 		}
-		place := t.rank / w / b.warmth(t) // the draw needs no warmth: a cold one's turns have it
+		place := t.rank / w
 		if b.isLinked(t) {
 			place *= stay
 		}
