--- a/saltmast.go
+++ b/saltmast.go
@@ -427,7 +427,7 @@
 			u = keyedDraw(c.t.hash, r.key)
 		}
 		kind := 2
-		if float64(i) < set || trusted || c.t.cold && (linked || 2*set < float64(b.up)) { // a wide set meets it
+		if float64(i) < set || trusted || c.t.cold && (linked || 2*set < float64(b.up)) { // not a wide one
 			kind = 0
 		} else if linked {
 			kind = 1
