--- a/balancer/api.go
+++ b/balancer/api.go
@@ -259,11 +259,14 @@
 	Reset                       // the connection broke; may have run
 	Cancelled                   // withdrawn; may have run
 	NotSent                     // never sent
+	LocalFailure                // no connection, by a cause that may be this machine's own; never ran
 )
 
 // NeverRan reports whether the result proves that the attempt had no effect, where Rejected is
 // proof; see Settings.RejectedMayHaveRun.
-func (r Result) NeverRan() bool { return r == Rejected || r == ConnectFailed || r == NotSent }
+func (r Result) NeverRan() bool {
+	return r == Rejected || r == ConnectFailed || r == NotSent || r == LocalFailure
+}
 
 // Action is something the agent must do now, in the order given. Agents carry
 // out every kind, whether or not the present module sends it.
--- a/balancer/outlier_test.go
+++ b/balancer/outlier_test.go
@@ -304,3 +304,59 @@
 		t.Errorf("%d of 8 endpoints in use, want all but one", len(used))
 	}
 }
+
+// Connections that fail at every endpoint for a cause of this machine's own say nothing of the endpoints: requests are
+// served as before as soon as that is over, and no endpoint is taken for restarted.
+func TestLocalFailuresSayNothingOfEndpoints(t *testing.T) {
+	for _, agents := range []int{1, 900} {
+		s := settings()
+		s.Agents = agents
+		h := newHarness(t, s, 4, endpoints(6))
+		h.waves(60, 6, idempotent, 30*ms)
+		for i := range 40 {
+			id := fmt.Sprint("local", i)
+			h.request(id, notIdempotent)
+			for len(h.sent[id]) > 0 && finalAnswer(id, h.actions) == "" {
+				attempts := len(h.sent[id])
+				h.outcome(id, balancer.LocalFailure, 0)
+				if h.advance(200 * ms); len(h.sent[id]) == attempts {
+					break
+				}
+			}
+		}
+		h.advance(time.Second)
+		served := 0
+		for i := range 100 {
+			id := fmt.Sprint("after", i)
+			h.request(id, notIdempotent)
+			h.now += 30 * ms
+			if len(h.sent[id]) == 1 {
+				h.outcome(id, balancer.Served, 30*ms)
+				served++
+			}
+		}
+		if served < 95 {
+			t.Errorf("%d agents: %d of 100 requests were served after the failures", agents, served)
+		}
+	}
+}
+
+// An endpoint that only this machine can't reach must not draw the traffic, as one that fails fast is always idle.
+func TestLocalFailuresAtOneEndpoint(t *testing.T) {
+	h := newHarness(t, settings(), 4, endpoints(6))
+	failed := 0
+	for i := range 300 {
+		id := fmt.Sprint("q", i)
+		h.request(id, notIdempotent)
+		if h.sent[id][len(h.sent[id])-1] == "a" {
+			h.outcome(id, balancer.LocalFailure, ms)
+			h.advance(200 * ms)
+			failed++
+		}
+		h.now += 30 * ms
+		h.outcome(id, balancer.Served, 30*ms)
+	}
+	if failed > 30 {
+		t.Errorf("the endpoint that can't be reached got %d of 300", failed)
+	}
+}
--- a/internal/frontend/listener_test.go
+++ b/internal/frontend/listener_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -169,3 +171,42 @@
 		t.Errorf("idle in a shutdown: retired %v, %d open", conn.retired, open)
 	}
 }
+
+// failingListener is a listener whose next calls of accept fail.
+type failingListener struct {
+	net.Listener
+	failures chan error // one for each of the next calls
+}
+
+// Accept implements net.Listener.
+func (l *failingListener) Accept() (net.Conn, error) {
+	select {
+	case err := <-l.failures:
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+	default:
+		return l.Listener.Accept()
+	}
+}
+
+// Calls of accept that fail for a moment must not end the agent, nor keep a client out for long.
+func TestAcceptFailures(t *testing.T) {
+	for _, cause := range []syscall.Errno{syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS,
+		syscall.ENOMEM, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ENETDOWN, syscall.EPROTO, syscall.EPERM,
+		syscall.ENOSR, syscall.ENOPROTOOPT, syscall.EOPNOTSUPP, syscall.ETIMEDOUT} {
+		t.Run(cause.Error(), func(t *testing.T) {
+			t.Parallel()
+			failing := &failingListener{failures: make(chan error, 4)}
+			for range cap(failing.failures) {
+				failing.failures <- cause
+			}
+			server, _ := startServer(t, testutil.Config(t, "127.0.0.1:1"), echo, func(s *Server) {
+				failing.Listener = s.listener.Listener
+				s.listener.Listener = failing
+			})
+			client := testutil.Dial(t, server.Addr(), testutil.Post(id, ""))
+			if status := testutil.ReadStatus(t, client); status != http.StatusOK {
+				t.Errorf("status %d after accept failed", status)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/upstream/dial_test.go
@@ -0,0 +1,47 @@
+package upstream
+
+import (
+	"fmt"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"ashshunt/balancer"
+	"ashshunt/internal/testutil"
+)
+
+// localCauses are errors of socket and connect that say nothing sure of the endpoint.
+var localCauses = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+	syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ENETDOWN,
+	syscall.ETIMEDOUT, syscall.EAGAIN, syscall.EACCES, syscall.EPERM, syscall.ECONNABORTED}
+
+// failDials has the next dials of a client fail by a cause. It returns how many are left to fail.
+func failDials(client *Client, count int32, cause error) *atomic.Int32 {
+	left := &atomic.Int32{}
+	left.Store(count)
+	client.pool.dialer.Control = func(_, _ string, _ syscall.RawConn) error {
+		if left.Add(-1) >= 0 {
+			return cause
+		}
+		return nil
+	}
+	return left
+}
+
+// A connection that fails for a moment, by a cause that may be this machine's own, comes up within the connect timeout
+// for attempts and for health checks.
+func TestLocalConnectFailures(t *testing.T) {
+	for _, cause := range localCauses {
+		t.Run(fmt.Sprint(cause), func(t *testing.T) {
+			t.Parallel()
+			client := newTestClient(t, testutil.NewServer(t, testutil.Echo).Addr())
+			failDials(client, 5, cause)
+			client.mustServe(t)
+			client.CloseIdle("s0")
+			failDials(client, 5, cause)
+			if result, _ := client.HealthCheck(t.Context(), "s0"); result != balancer.Served {
+				t.Errorf("health check: result %d, want Served", result)
+			}
+		})
+	}
+}
