Call accept again after any failure until the listener is closed

Cause: connectionListener.Accept passed each error on, and net/http's Serve ends on all that are not EMFILE, ENFILE, ECONNABORTED, EINTR or a time-out; Run returned it and the process ended. Change: the listener logs the error, waits 1 to 50 ms and calls accept again; only the close of the listener ends it. Serve's own waits of up to 1 s no longer apply.

--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"context"
+	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -11,8 +13,13 @@
 	"ashshunt/internal/socket"
 )
 
-// minSlotWait keeps a wait for a free slot from spinning.
-const minSlotWait = time.Millisecond
+const (
+	// minSlotWait keeps a wait for a free slot from spinning.
+	minSlotWait = time.Millisecond
+	// minAcceptPause is the wait after a call of accept that has failed; it doubles up to maxAcceptPause.
+	minAcceptPause = time.Millisecond
+	maxAcceptPause = 50 * time.Millisecond
+)
 
 // connectionListener is a listener that bounds the connections it has given out, since each holds a descriptor:
 // clients that stay silent, or send one request and stay, would take them all. At the limit it closes the connection
@@ -21,6 +28,7 @@
 	net.Listener
 	limit    int // 0: no limit
 	timeouts *Timeouts
+	log      *slog.Logger
 
 	mu       sync.Mutex
 	open     int           // connections that hold a descriptor
@@ -31,11 +39,12 @@
 	stopOnce sync.Once
 }
 
-func newListener(l net.Listener, limit int, timeouts *Timeouts) *connectionListener {
+func newListener(l net.Listener, limit int, timeouts *Timeouts, log *slog.Logger) *connectionListener {
 	return &connectionListener{
 		Listener: l,
 		limit:    limit,
 		timeouts: timeouts,
+		log:      log,
 		idle:     list.New(),
 		released: make(chan struct{}, 1),
 		stopped:  make(chan struct{}),
@@ -64,7 +73,7 @@
 	if err := l.awaitSlot(); err != nil {
 		return nil, err
 	}
-	accepted, err := l.Listener.Accept()
+	accepted, err := l.acceptNext()
 	if err != nil {
 		return nil, err
 	}
@@ -74,6 +83,33 @@
 	return &connection{Conn: accepted, listener: l}, nil
 }
 
+// acceptNext takes the next connection. Accept fails for many causes that are over in a moment, and of those that are
+// not, none is mended by an end of the agent: it is called again until the listener is closed.
+func (l *connectionListener) acceptNext() (net.Conn, error) {
+	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
+		accepted, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return accepted, err
+		}
+		l.log.Warn("accept failed", "err", err)
+		if !l.sleep(pause) {
+			return nil, net.ErrClosed
+		}
+	}
+}
+
+// sleep waits and reports whether the listener was not closed meanwhile.
+func (l *connectionListener) sleep(wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-l.stopped:
+		return false
+	}
+}
+
 // awaitSlot waits until the limit allows one more connection.
 func (l *connectionListener) awaitSlot() error {
 	for {
--- a/internal/frontend/listener_test.go
+++ b/internal/frontend/listener_test.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener := newListener(inner, 1, &Timeouts{})
+	listener := newListener(inner, 1, &Timeouts{}, testutil.NewLogger(&testutil.Log{}))
 	t.Cleanup(func() { _ = listener.Close() })
 	return listener
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -62,7 +62,7 @@
 // NewServer returns a server for the connections of a listener. It answers once Serve is called.
 func NewServer(listener net.Listener, c *config.Config, clock clock.Clock, loop EventLoop, log *slog.Logger) *Server {
 	s := &Server{Timeouts: DefaultTimeouts()}
-	s.listener = newListener(listener, c.ClientConnections(), &s.Timeouts)
+	s.listener = newListener(listener, c.ClientConnections(), &s.Timeouts, log)
 	s.handler = newHandler(c, clock, loop, &s.Timeouts, s.listener.nearLimit)
 	s.http = &http.Server{
 		Handler:        s.handler,
