Redial after local failures, and keep them from counting against endpoints

Cause: a dial that failed for a cause of this machine (no buffers, no ports, no route for a moment) ended its attempt as ConnectFailed. One is enough to eject an endpoint, without a bound on how many, and sets it down as unreachable: the next response then passes for that of a restarted process, and the slow start of all endpoints at once leaves hardly a permit. The same for a pool at its limit. Ruled out: the retry bucket, which is full again long before the 8 s are over. Change: socket.Dialer, used for attempts, health checks and discovery, redials within half of the connect timeout; what persists is the result LocalFailure (never ran), which ejects within the bound only and starts no slow start. ETIMEDOUT of the system no longer passes for a deadline of ours (socket.IsTimeout).

--- a/balancer/outlier.go
+++ b/balancer/outlier.go
@@ -34,6 +34,10 @@
 	if impatient && outcome.Result == TimedOut {
 		return
 	}
+	if outcome.Result == LocalFailure {
+		b.observeLocalFailure(r, a, outcome)
+		return
+	}
 	b.observeOnTime(r, a, outcome.Result)
 	b.observeConnection(a, outcome.Result)
 	switch outcome.Result {
@@ -141,11 +145,22 @@
 		}
 	}
 	if ep.consecutiveFailures >= threshold && (outcome.Result == ConnectFailed || b.mayEject()) {
-		ep.unreachable = ep.unreachable || outcome.Result != ServerError
+		ep.unreachable = ep.unreachable || outcome.Result != ServerError && outcome.Result != LocalFailure
 		b.eject(a, r.class)
 	}
 }
 
+// observeLocalFailure keeps an endpoint that can't be reached from here from drawing the traffic, as one that fails fast
+// is always idle. The cause may be this machine: that an endpoint was restarted can't be told from it, and the bound on
+// ejected endpoints holds.
+func (b *Balancer) observeLocalFailure(r *request, a *attempt, outcome Outcome) {
+	a.endpoint.rejectingUntil = b.drawRejectingUntil(r)
+	if len(r.attempts) == 1 {
+		b.traffic.sent = max(0, b.traffic.sent-1) // nothing went out that may have been wasted
+	}
+	b.observeFailure(r, a, outcome)
+}
+
 // isAlive reports whether an endpoint lives although a connection to it failed: a process that dies takes all
 // its connections along, but older attempts are still in flight. An unanswered dial is no sign of life.
 func (b *Balancer) isAlive(ep *endpoint, outcome Outcome) bool {
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -10,6 +10,7 @@
 
 	"ashshunt/balancer"
 	"ashshunt/internal/endpoint"
+	"ashshunt/internal/socket"
 )
 
 // maxListSize is the most bytes that one list may have.
@@ -20,7 +21,7 @@
 
 // newHTTPClient returns a client that uses each connection once, so that it never sends a call again by itself.
 func newHTTPClient() *http.Client {
-	dialer := &net.Dialer{Timeout: callTimeout}
+	dialer := &socket.Dialer{Dialer: net.Dialer{Timeout: callTimeout}}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:           dialer.DialContext,
 		DisableKeepAlives:     true,
--- /dev/null
+++ b/internal/socket/dialer.go
@@ -0,0 +1,64 @@
+package socket
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+)
+
+// ErrLocalFailure marks a dial that failed by a cause that may lie with this machine: it says nothing sure of the other
+// side.
+var ErrLocalFailure = errors.New("local failure")
+
+const (
+	// firstRedialPause is the wait before the first repeat of a dial; it doubles up to maxRedialPause.
+	firstRedialPause = time.Millisecond
+	maxRedialPause   = 16 * time.Millisecond
+	// redialShare is the part of a dial's timeout within which it is repeated. The rest is left to its caller, who may
+	// have another address.
+	redialShare = 0.5
+)
+
+// Dialer opens TCP connections. A dial that fails by a cause that may lie with this machine, such as a lack of buffers
+// or ports, is repeated for a part of its timeout, since such causes are often over in a moment.
+type Dialer struct {
+	net.Dialer
+}
+
+// DialContext connects to an address within the dialer's timeout and deadline. An error that persisted and that may lie
+// with this machine is ErrLocalFailure.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	once := d.Dialer
+	start := time.Now()
+	lastRedial := start
+	if d.Timeout > 0 {
+		lastRedial = start.Add(time.Duration(redialShare * float64(d.Timeout)))
+		if end := start.Add(d.Timeout); once.Deadline.IsZero() || end.Before(once.Deadline) {
+			once.Deadline = end // of all dials together
+		}
+		once.Timeout = 0
+	}
+	for pause := firstRedialPause; ; pause = min(2*pause, maxRedialPause) {
+		conn, err := once.DialContext(ctx, network, address)
+		if err == nil || !isLocalFailure(err) {
+			return conn, err
+		}
+		if time.Now().Add(pause).After(lastRedial) || !sleep(ctx, pause) {
+			return nil, fmt.Errorf("%w: %w", ErrLocalFailure, err)
+		}
+	}
+}
+
+// sleep waits and reports whether ctx has not ended meanwhile.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -16,6 +16,7 @@
 	"ashshunt/balancer"
 	"ashshunt/internal/endpoint"
 	"ashshunt/internal/protocol"
+	"ashshunt/internal/socket"
 )
 
 const (
@@ -176,7 +177,10 @@
 	if ctx.Err() != nil {
 		return nil, &connectError{balancer.NotSent, err}
 	}
-	if isTimeout(err) { // the machine is silent: its idle connections are no better
+	if errors.Is(err, socket.ErrLocalFailure) || errors.Is(err, ErrPoolExhausted) {
+		return nil, &connectError{balancer.LocalFailure, err}
+	}
+	if socket.IsTimeout(err) { // the machine is silent: its idle connections are no better
 		c.pool.closeIdle(entry.ID)
 	}
 	return nil, &connectError{balancer.ConnectFailed, err}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,7 +21,7 @@
 type pool struct {
 	maxIdle        time.Duration // a connection that is idle for longer is closed
 	maxConnections int           // 0: no limit
-	dialer         net.Dialer
+	dialer         socket.Dialer
 
 	mu             sync.Mutex                // protects what follows and the fields of groups and connections that say so
 	open           int                       // connections that are idle, in use or being dialled
@@ -55,7 +55,7 @@
 	return &pool{
 		maxIdle:        maxIdle,
 		maxConnections: maxConnections,
-		dialer:         net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
+		dialer:         socket.Dialer{Dialer: net.Dialer{Timeout: connectTimeout, KeepAlive: -1}},
 		groups:         map[string]*endpointGroup{},
 	}
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"ashshunt/internal/protocol"
+	"ashshunt/internal/socket"
 )
 
 const (
@@ -124,7 +125,7 @@
 
 // stalled reports whether the read ended by the stall timeout, neither by the deadline nor by a cancel.
 func (r *responseReader) stalled() bool {
-	return r.started && isTimeout(r.connErr) && time.Now().Before(r.deadline) && r.ctx.Err() == nil
+	return r.started && socket.IsTimeout(r.connErr) && time.Now().Before(r.deadline) && r.ctx.Err() == nil
 }
 
 // responseHead is the status line and the header of a response.
