--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -9,6 +9,13 @@
 	"golang.org/x/sys/unix"
 )
 
+// The system calls that examine a socket; tests have them fail.
+var (
+	recvfrom    = syscall.Recvfrom
+	poll        = unix.Poll
+	ioctlGetInt = unix.IoctlGetInt
+)
+
 // maxUnread is how many bytes may wait behind an open request.
 const maxUnread = 16 << 10
 
@@ -82,7 +89,7 @@
 
 func peek(fd uintptr) ReceiveState {
 	var buffer [1]byte
-	n, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	n, _, err := recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	switch {
 	case err == syscall.EAGAIN:
 		return Quiet
@@ -95,13 +102,13 @@
 // hungUp reports whether the other side has ended its sending or the connection has failed.
 func hungUp(fd uintptr) bool {
 	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(polled, 0)
+	n, err := poll(polled, 0)
 	return err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
 // unread is the number of bytes that wait to be read; 0 if that is not known.
 func unread(fd uintptr) int {
-	n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+	n, err := ioctlGetInt(int(fd), unix.TIOCINQ)
 	if err != nil {
 		return 0
 	}
--- /dev/null
+++ b/internal/socket/transient_test.go
@@ -0,0 +1,96 @@
+package socket_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+
+	"ashshunt/internal/socket"
+	"ashshunt/internal/testutil"
+)
+
+// transientCauses are errors of system calls on a connection that is in good health.
+var transientCauses = []error{syscall.EINTR, syscall.ENOBUFS, syscall.ENOMEM}
+
+// What a socket holds, and whether the other side has gone, is seen also where system calls fail for a moment.
+func TestExaminationAfterTransientFailures(t *testing.T) {
+	for _, cause := range transientCauses {
+		t.Run(fmt.Sprint(cause), func(t *testing.T) {
+			local, peer := connect(t)
+			socket.FailCalls(t, 3, cause)
+			if state := socket.Peek(local); state != socket.Quiet {
+				t.Errorf("before any byte: state %d, want Quiet", state)
+			}
+			send(t, peer, strings.Repeat("x", 17<<10))
+			testutil.Eventually(t, "the bytes", func() bool { return socket.Peer(local).Flooded })
+			socket.FailCalls(t, 3, cause)
+			if !socket.HasUnread(local) {
+				t.Error("unread bytes are not reported")
+			}
+			if !socket.Peer(local).Flooded {
+				t.Error("so many unread bytes are not reported")
+			}
+			closeWrite(t, peer)
+			testutil.Eventually(t, "the end", func() bool { return socket.Peer(local).Closed })
+			socket.FailCalls(t, 3, cause)
+			if !socket.Peer(local).Closed {
+				t.Error("the other side's end is not reported")
+			}
+		})
+	}
+}
+
+// A connection that can't be examined at all may hold a request: it does not pass for idle.
+func TestExaminationThatKeepsFailing(t *testing.T) {
+	local, peer := connect(t)
+	send(t, peer, "x")
+	testutil.Eventually(t, "the byte", func() bool { return socket.HasUnread(local) })
+	socket.FailCalls(t, 1<<30, syscall.ENOBUFS)
+	if !socket.HasUnread(local) {
+		t.Error("a connection that can't be examined passes for idle")
+	}
+	if socket.Peer(local).Gone() {
+		t.Error("the other side passes for gone")
+	}
+}
+
+// unsteadyConn is a connection that reads and writes one byte at a time, with a failure before each.
+type unsteadyConn struct {
+	net.Conn
+	cause error
+	calls int
+}
+
+func (c *unsteadyConn) attempt(p []byte, operation func([]byte) (int, error)) (int, error) {
+	if c.calls++; c.calls%2 == 1 {
+		return 0, &net.OpError{Op: "operation", Err: c.cause}
+	}
+	return operation(p[:min(1, len(p))])
+}
+
+func (c *unsteadyConn) Read(p []byte) (int, error) { return c.attempt(p, c.Conn.Read) }
+
+func (c *unsteadyConn) Write(p []byte) (int, error) { return c.attempt(p, c.Conn.Write) }
+
+// Reads and writes that are short, or fail for a moment, lose nothing.
+func TestUnsteadyReadsAndWrites(t *testing.T) {
+	const text = "a request, or the response to it"
+	for _, cause := range transientCauses {
+		t.Run(fmt.Sprint(cause), func(t *testing.T) {
+			local, peer := connect(t)
+			conn := socket.NewConn(&unsteadyConn{Conn: local, cause: cause})
+			send(t, conn, text)
+			received := make([]byte, len(text))
+			if _, err := io.ReadFull(peer, received); err != nil || string(received) != text {
+				t.Errorf("written: %q, %v", received, err)
+			}
+			send(t, peer, text)
+			if _, err := io.ReadFull(conn, received); err != nil || string(received) != text {
+				t.Errorf("read: %q, %v", received, err)
+			}
+		})
+	}
+}
