Repeat system calls on connections that fail for a moment

Cause: peek took any error but EAGAIN for the end of a connection, hungUp took a failed poll for a client that is still there, unread a failed ioctl for nothing, and a read or write that failed by ENOBUFS, ENOMEM or EINTR ended its connection, under a request that had been read or a response on its way. Change: examinations are repeated at once, and what stays unknown passes for possibly unread; socket.Conn, used for clients' connections and for all dialled ones, repeats reads and writes after 1 to 128 ms and finishes short writes.

--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -80,7 +80,7 @@
 	l.mu.Lock()
 	l.open++
 	l.mu.Unlock()
-	return &connection{Conn: accepted, listener: l}, nil
+	return &connection{Conn: socket.NewConn(accepted), listener: l}, nil
 }
 
 // acceptNext takes the next connection. Accept fails for many causes that are over in a moment, and of those that are
--- a/internal/socket/dialer.go
+++ b/internal/socket/dialer.go
@@ -42,8 +42,11 @@
 	}
 	for pause := firstRedialPause; ; pause = min(2*pause, maxRedialPause) {
 		conn, err := once.DialContext(ctx, network, address)
-		if err == nil || !isLocalFailure(err) {
-			return conn, err
+		if err == nil {
+			return NewConn(conn), nil
+		}
+		if !isLocalFailure(err) {
+			return nil, err
 		}
 		if time.Now().Add(pause).After(lastRedial) || !sleep(ctx, pause) {
 			return nil, fmt.Errorf("%w: %w", ErrLocalFailure, err)
--- a/internal/socket/errors.go
+++ b/internal/socket/errors.go
@@ -22,3 +22,9 @@
 	}
 	return cause != syscall.ECONNREFUSED && cause != syscall.ECONNRESET
 }
+
+// isTransient reports whether a call on a connection has failed by a lack of resources that may be over in a moment. The
+// connection is as good as before.
+func isTransient(err error) bool {
+	return errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -24,9 +24,10 @@
 
 // The states of a receive side.
 const (
-	Ended    ReceiveState = iota // either side has closed it, it failed, or it can't be examined
+	Ended    ReceiveState = iota // either side has closed it, or it failed
 	Quiet                        // open, with nothing to read
 	Readable                     // bytes wait to be read
+	Unknown                      // the system does not tell at present
 )
 
 // Peek examines a socket without waiting.
@@ -35,17 +36,20 @@
 	if err != nil {
 		return Ended
 	}
-	state := Ended
+	state := Unknown
 	if raw.Control(func(fd uintptr) { state = peek(fd) }) != nil {
 		return Ended
 	}
 	return state
 }
 
-// HasUnread reports whether bytes wait to be read.
-func HasUnread(conn net.Conn) bool { return Peek(conn) == Readable }
+// HasUnread reports whether bytes wait to be read, or may wait: a request must not be taken for nothing.
+func HasUnread(conn net.Conn) bool {
+	state := Peek(conn)
+	return state == Readable || state == Unknown
+}
 
-// WaitReadable waits until a socket has bytes to be read, or has ended.
+// WaitReadable waits until a socket may have bytes to be read, or has ended.
 func WaitReadable(conn net.Conn) error {
 	raw, err := rawConn(conn)
 	if err != nil {
@@ -89,10 +93,15 @@
 
 func peek(fd uintptr) ReceiveState {
 	var buffer [1]byte
-	n, _, err := recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	n, err := repeatTransient(func() (int, error) {
+		n, _, err := recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return n, err
+	})
 	switch {
 	case err == syscall.EAGAIN:
 		return Quiet
+	case isTransient(err):
+		return Unknown
 	case err == nil && n > 0:
 		return Readable
 	}
@@ -102,15 +111,25 @@
 // hungUp reports whether the other side has ended its sending or the connection has failed.
 func hungUp(fd uintptr) bool {
 	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err := poll(polled, 0)
+	n, err := repeatTransient(func() (int, error) { return poll(polled, 0) })
 	return err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
 // unread is the number of bytes that wait to be read; 0 if that is not known.
 func unread(fd uintptr) int {
-	n, err := ioctlGetInt(int(fd), unix.TIOCINQ)
+	n, err := repeatTransient(func() (int, error) { return ioctlGetInt(int(fd), unix.TIOCINQ) })
 	if err != nil {
 		return 0
 	}
 	return n
 }
+
+// repeatTransient makes a system call that does not wait, and makes it again at once while it fails for a moment.
+func repeatTransient(call func() (int, error)) (n int, err error) {
+	for range maxRepeats {
+		if n, err = call(); !isTransient(err) {
+			break
+		}
+	}
+	return n, err
+}
--- a/internal/socket/transient_test.go
+++ b/internal/socket/transient_test.go
@@ -1,6 +1,7 @@
 package socket_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -94,3 +95,20 @@
 		})
 	}
 }
+
+// Connections that are dialled withstand such failures.
+func TestDialledConnectionsAreSteady(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	conn, err := new(socket.Dialer).DialContext(context.Background(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, ok := conn.(socket.Conn); !ok {
+		t.Errorf("dialled a %T", conn)
+	}
+}
