Withstand a broken log, and retry a reload or a start that fails for a moment

Cause: SIGPIPE on standard error ends a Go process by itself; slog wrote on the caller's goroutine, so that a pipe nobody reads held up the event loop; reloadOnSignal dropped a signal whose file could not be read or was half-written; main and agent.New took the first failure of open, read, socket, bind or listen for the last. Change: SIGPIPE is ignored and telemetry.Writer logs from a goroutine of its own, dropping what is not read; a reload is tried again for 30 s at 10 to 250 ms; package retry repeats the start's calls for 5 s where the error may pass, and a configuration that ends too early is read again.

--- a/cmd/ashshunt/faults_test.go
+++ b/cmd/ashshunt/faults_test.go
@@ -127,3 +127,14 @@
 	}
 	process.addr(t)
 }
+
+// A configuration that is being written as the agent starts does not end the start.
+func TestStartOnceTheFileIsComplete(t *testing.T) {
+	file := newConfigFile(t)
+	text := configText("127.0.0.1:1", "", 300)
+	file.write(t, text[:len(text)/2])
+	process := startAgent(t, file)
+	process.expectLine(t, "configuration can't be read")
+	file.write(t, text)
+	process.addr(t)
+}
--- a/cmd/ashshunt/main.go
+++ b/cmd/ashshunt/main.go
@@ -5,15 +5,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"ashshunt/internal/agent"
 	"ashshunt/internal/config"
+	"ashshunt/internal/retry"
 	"ashshunt/internal/telemetry"
 )
 
@@ -23,17 +26,27 @@
 	// gcPercent lets the heap more than double between collections: it is small, and stays far below the limit.
 	gcPercent  = 150
 	bytesPerMB = 1 << 20
+	// startPatience is how long the start is held up by a file that can't be read.
+	startPatience = 5 * time.Second
+	// logFlushTimeout is how long the end is held up by the reader of the log.
+	logFlushTimeout = 100 * time.Millisecond
 )
 
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "ashshunt:", err)
+	logWriter := telemetry.NewWriter(os.Stderr)
+	err := run(logWriter)
+	if err != nil {
+		_, _ = fmt.Fprintln(logWriter, "ashshunt:", err) // never fails
+	}
+	logWriter.Flush(logFlushTimeout)
+	if err != nil {
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	// Signals come first: one that is not handled yet would end the process.
+func run(logWriter io.Writer) error {
+	// Signals come first: one that is not handled yet would end the process. A log that its reader has closed must not.
+	signal.Ignore(syscall.SIGPIPE)
 	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer release()
 	reload := make(chan os.Signal, 1) // signals that come during a reload make one more
@@ -44,19 +57,20 @@
 	if path == "" {
 		return errors.New(configVariable + " names no configuration file")
 	}
-	c, err := config.Load(path)
+	log := newLogger(logWriter)
+	c, err := loadConfig(path, log)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
 	setMemoryLimits(c.MemoryMB)
-	log := newLogger(c.Name)
+	log = log.With("agent", c.Name)
 	a, err := agent.New(c, log)
 	if err != nil {
 		return err
 	}
 	ended := make(chan struct{})
 	defer close(ended)
-	go reloadOnSignal(reload, ended, path, a, log)
+	go (&reloader{path: path, agent: a, log: log}).run(reload, ended)
 	log.Info("serving", "listen", a.Addr().String())
 	return a.Run(stop)
 }
@@ -69,25 +83,16 @@
 	}
 }
 
-func newLogger(agentName string) *slog.Logger {
-	handler := telemetry.RateLimited(slog.NewTextHandler(os.Stderr, nil))
-	return slog.New(handler).With("agent", agentName)
+func newLogger(w io.Writer) *slog.Logger {
+	return slog.New(telemetry.RateLimited(slog.NewTextHandler(w, nil)))
 }
 
-// reloadOnSignal reads the configuration anew upon each signal, until ended is closed. The signal stays handled after
-// that: it would end the process.
-func reloadOnSignal(signals <-chan os.Signal, ended <-chan struct{}, path string, a *agent.Agent, log *slog.Logger) {
-	for {
-		select {
-		case <-signals:
-		case <-ended:
-			return
-		}
-		c, err := config.Load(path)
-		if err != nil {
-			log.Warn("invalid configuration, keeping the old one", "err", err)
-			continue
-		}
-		a.Reload(c)
+// loadConfig reads the configuration. A file that can't be read, or is just being written, is read again for a while.
+func loadConfig(path string, log *slog.Logger) (*config.Config, error) {
+	policy := retry.Policy{
+		Patience:  startPatience,
+		MayPass:   func(err error) bool { return retry.MayPass(err) || errors.Is(err, config.ErrIncomplete) },
+		OnFailure: func(err error) { log.Warn("configuration can't be read", "err", err) },
 	}
+	return retry.Do(policy, func() (*config.Config, error) { return config.Load(path) })
 }
--- a/cmd/ashshunt/signals_test.go
+++ b/cmd/ashshunt/signals_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -36,7 +37,7 @@
 	writeConfig(first)
 	t.Setenv(configVariable, string(file))
 	ended := make(chan error, 1)
-	go func() { ended <- run() }()
+	go func() { ended <- run(io.Discard) }()
 	expectWatch(t, firstWatches, "follow=1&since=3")
 	file.write(t, "{")
 	signalSelf(t, syscall.SIGHUP)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 	"ashshunt/internal/clock"
 	"ashshunt/internal/config"
 	"ashshunt/internal/frontend"
+	"ashshunt/internal/retry"
 )
 
 const (
@@ -20,6 +21,8 @@
 	acceptPeriod = 500 * time.Millisecond
 	// finalWriteTime is the time for the last responses of a shutdown to be written.
 	finalWriteTime = 100 * time.Millisecond
+	// listenPatience is how long the start is held up by an address that can't be listened on.
+	listenPatience = 5 * time.Second
 )
 
 // Agent is one agent: the frontend, and the event loop that answers its requests.
@@ -38,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", c.Listen)
+	listener, err := listen(c.Listen, log)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -46,6 +49,16 @@
 	return &Agent{loop: loop, frontend: server, log: log, acceptPeriod: acceptPeriod}, nil
 }
 
+// listen opens the listener; what fails for a moment is tried again.
+func listen(addr string, log *slog.Logger) (net.Listener, error) {
+	policy := retry.Policy{
+		Patience:  listenPatience,
+		MayPass:   retry.MayPass,
+		OnFailure: func(err error) { log.Warn("listen failed", "err", err) },
+	}
+	return retry.Do(policy, func() (net.Listener, error) { return net.Listen("tcp", addr) })
+}
+
 // Addr is the address that the agent listens on.
 func (a *Agent) Addr() net.Addr { return a.frontend.Addr() }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,6 +19,9 @@
 	envDiscovery = "GW_DISCOVERY"
 )
 
+// ErrIncomplete marks the text of a configuration that ends too early: it may be just being written.
+var ErrIncomplete = errors.New("incomplete configuration")
+
 // Config is a checked configuration.
 type Config struct {
 	Name      string
@@ -66,6 +69,10 @@
 func Parse(raw []byte) (*Config, error) {
 	var f file
 	if err := json.Unmarshal(raw, &f); err != nil {
+		var syntaxError *json.SyntaxError
+		if errors.As(err, &syntaxError) && syntaxError.Offset == int64(len(raw)) {
+			return nil, fmt.Errorf("%w: %w", ErrIncomplete, err)
+		}
 		return nil, err
 	}
 	c := &Config{
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,55 @@
+package retry_test
+
+import (
+	"errors"
+	"io/fs"
+	"syscall"
+	"testing"
+	"time"
+
+	"ashshunt/internal/retry"
+	"ashshunt/internal/testutil"
+)
+
+func TestDo(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		cause    error
+		failures int
+		calls    int // that are made
+	}{
+		{"no failure", nil, 0, 1},
+		{"table of files full", syscall.ENFILE, 4, 5},
+		{"I/O error", syscall.EIO, 2, 3},
+		{"interrupted", syscall.EINTR, 3, 4},
+		{"no such file", syscall.ENOENT, 4, 1},
+		{"no right", syscall.EACCES, 4, 1},
+		{"no error of a system call", errors.New("bad text"), 4, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			calls, told := 0, 0
+			policy := retry.Policy{Patience: testutil.Timeout, MayPass: retry.MayPass, OnFailure: func(error) { told++ }}
+			_, err := retry.Do(policy, func() (int, error) {
+				if calls++; calls <= test.failures {
+					return 0, &fs.PathError{Op: "open", Path: "config.json", Err: test.cause}
+				}
+				return calls, nil
+			})
+			if calls != test.calls || told != test.calls-1 {
+				t.Errorf("%d calls, %d errors told, want %d calls", calls, told, test.calls)
+			}
+			if wantError := test.failures >= test.calls; (err != nil) != wantError {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
+// A failure that lasts is reported once patience is over.
+func TestDoGivesUp(t *testing.T) {
+	policy := retry.Policy{Patience: 20 * time.Millisecond, MayPass: retry.MayPass, OnFailure: func(error) {}}
+	_, err := retry.Do(policy, func() (int, error) { return 0, syscall.ENFILE })
+	if !errors.Is(err, syscall.ENFILE) {
+		t.Errorf("error %v", err)
+	}
+}
