--- a/balancer/slowstart_test.go
+++ b/balancer/slowstart_test.go
@@ -262,3 +262,17 @@
 		}
 	}
 }
+
+// A start in the future, as a clock that is off gives it, counts from now on.
+func TestStartInTheFuture(t *testing.T) {
+	s := settings()
+	h := newHarness(t, s, 1, endpoints(4))
+	h.waves(40, 4, idempotent, 30*ms)
+	restarted := endpoints(1)[0]
+	restarted.Started = h.now + time.Hour
+	h.step(balancer.EndpointList{Kind: balancer.ListDelta, Endpoints: []balancer.Endpoint{restarted}})
+	h.advance(s.SlowStart)
+	if counts := h.waves(400, 4, idempotent, 30*ms); counts["a"] < 50 {
+		t.Errorf("after its slow start it got %d of 400", counts["a"])
+	}
+}
--- /dev/null
+++ b/internal/discovery/starttimes_test.go
@@ -0,0 +1,84 @@
+package discovery
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"ashshunt/balancer"
+	"ashshunt/internal/endpoint"
+	"ashshunt/internal/testutil"
+)
+
+// startedEntry is an entry of an endpoint that started at a Unix time in milliseconds.
+func startedEntry(id string, unixMs int64) string {
+	return strings.Replace(entry(id, endpoint.StateServing), `"started_ms":0`, fmt.Sprintf(`"started_ms":%d`, unixMs), 1)
+}
+
+// unixMs is the wall clock's time after a while.
+func unixMs(after time.Duration) int64 { return time.Now().Add(after).UnixMilli() }
+
+// startedOf returns the start of an endpoint by an event.
+func startedOf(t *testing.T, event balancer.EndpointList, id string) time.Duration {
+	t.Helper()
+	for _, ep := range event.Endpoints {
+		if ep.ID == id {
+			return ep.Started
+		}
+	}
+	t.Fatalf("no endpoint %s in %+v", id, event)
+	return 0
+}
+
+// The wall clock of this machine or of others may be off by seconds or an hour, either way. An endpoint passes for
+// started as long ago as the list itself proves, and never for one that starts in the future.
+func TestStartTimesWithoutWallClock(t *testing.T) {
+	for _, offset := range []time.Duration{-time.Hour, -5 * time.Second, 0, 5 * time.Second, 30 * time.Second, time.Hour} {
+		t.Run(offset.String(), func(t *testing.T) {
+			newest := unixMs(offset)
+			config := testutil.Config(t, "127.0.0.1:1", startedEntry("newest", newest),
+				startedEntry("older", newest-3000), entry("old", endpoint.StateServing))
+			options, _ := newOptions(t, config)
+			before := options.Clock.Now()
+			event := New(options).Known()
+			after := options.Clock.Now()
+			if at := startedOf(t, event, "newest"); at < before || at > after {
+				t.Errorf("the newest started %v before now", after-at)
+			}
+			if at := startedOf(t, event, "older"); at < before-3*time.Second || at > after {
+				t.Errorf("one that is 3 s older started %v before now", after-at)
+			}
+			if at := startedOf(t, event, "old"); at != 0 {
+				t.Errorf("one that started long ago started at %v", at)
+			}
+		})
+	}
+}
+
+// A start that a watch brings counts from then on, whatever the clocks say, also where they were set back since the
+// endpoint's last start. It keeps its time when it is listed again.
+func TestStartTimesOfChanges(t *testing.T) {
+	for _, offset := range []time.Duration{-time.Hour, 0, time.Hour} {
+		t.Run(offset.String(), func(t *testing.T) {
+			server := testutil.NewDiscovery(t)
+			client, events := subscribed(t, server, testutil.Timeout)
+			server.Say <- changes(2, startedEntry("s0", unixMs(-time.Minute)))
+			first := startedOf(t, expectEvent(t, events, balancer.ListDelta, 1), "s0")
+			before := client.convert.clock.Now()
+			restarted := startedEntry("s0", unixMs(offset))
+			server.Say <- changes(3, restarted)
+			second := startedOf(t, expectEvent(t, events, balancer.ListDelta, 1), "s0")
+			if second <= first || second > client.convert.clock.Now() {
+				t.Errorf("started at %v, restarted at %v", first, second)
+			}
+			if offset <= 0 && second < before-time.Second {
+				t.Errorf("restarted %v before it was told", before-second)
+			}
+			server.Say <- completeList(4, restarted)
+			if again := startedOf(t, expectEvent(t, events, balancer.ListComplete, 1), "s0"); again != second {
+				t.Errorf("restarted at %v, and at %v when it was listed again", second, again)
+			}
+		})
+	}
+}
