Tell start times by two clocks that must agree, not by the wall clock of the start

Cause: Clock.FromUnixMillis read start times against the wall clock at the agent's own start. A start after a step back is lower than the last one, and the module took only higher ones for a restart. Change: discovery.startTimes takes an endpoint to be as old as both this machine's clock and the newest start that the lists have told allow, on the monotonic clock; a start that is lower than the one before counts from now. Each start is converted once. The module clamps a start in the future to now. Cost: the newest endpoint of a list is taken for younger by the delay of its list, and after a restart of the agent it is cold once more.

--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -83,7 +83,7 @@
 		b.endpoints = append(b.endpoints, ep)
 	}
 	if entry.Started > ep.Started {
-		b.startWarmUp(ep, max(entry.Started, ep.startedAt))
+		b.startWarmUp(ep, min(max(entry.Started, ep.startedAt), b.now))
 		ep.ejectionLevel, ep.ejectedUntil, ep.unreachable = 0, 0, false
 	}
 	ep.Endpoint = entry
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -74,7 +74,7 @@
 		table:          options.Table,
 		retire:         options.Retire,
 		onList:         options.OnList,
-		convert:        converter{zones: options.Zones, kinds: options.Kinds, clock: options.Clock},
+		convert:        converter{zones: options.Zones, kinds: options.Kinds, starts: newStartTimes(options.Clock)},
 		known:          options.Known,
 		keepWatch:      options.KeepWatch,
 		silenceTimeout: watchSilenceTimeout,
--- a/internal/discovery/convert.go
+++ b/internal/discovery/convert.go
@@ -4,18 +4,19 @@
 	"slices"
 
 	"ashshunt/balancer"
-	"ashshunt/internal/clock"
 	"ashshunt/internal/endpoint"
 )
 
 // converter turns endpoint lists into the decision module's events.
 type converter struct {
-	zones []string // in the order of the module's numbers
-	kinds []string
-	clock clock.Clock
+	zones  []string // in the order of the module's numbers
+	kinds  []string
+	starts *startTimes
 }
 
+// event converts a list, whose start times are taken over first.
 func (c converter) event(list endpoint.List, kind balancer.ListKind) balancer.EndpointList {
+	c.starts.update(list)
 	event := balancer.EndpointList{Kind: kind, Endpoints: make([]balancer.Endpoint, 0, len(list.Entries))}
 	for _, entry := range list.Entries {
 		event.Endpoints = append(event.Endpoints, balancer.Endpoint{
@@ -25,7 +26,7 @@
 			Cell:    entry.Cell,
 			Kind:    slices.Index(c.kinds, entry.Kind),
 			Weight:  entry.Weight,
-			Started: c.clock.FromUnixMillis(entry.StartedMs),
+			Started: c.starts.of(entry.ID),
 		})
 	}
 	return event
--- a/internal/endpoint/entry.go
+++ b/internal/endpoint/entry.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"net"
 	"strconv"
+	"time"
 
 	"ashshunt/balancer"
+	"ashshunt/internal/clock"
 )
 
 // State is an endpoint's state as discovery names it.
@@ -45,6 +47,9 @@
 // Serving reports whether the endpoint may get new requests.
 func (e Entry) Serving() bool { return e.State == StateServing }
 
+// Started is when the endpoint last started, as Unix time; 0: long ago.
+func (e Entry) Started() time.Duration { return max(0, clock.Milliseconds(e.StartedMs)) }
+
 // SameProcess reports whether two entries of an endpoint describe one process at one address.
 func (e Entry) SameProcess(other Entry) bool {
 	return e.Addr == other.Addr && e.StartedMs == other.StartedMs
