Test responses without a length, and attempts that begin outside their window

An attempt that repeats a request with a key begins after the window if its machine is held up after the dial; Send.NotAfter and upstream.Bounds are there, but nobody heeds them yet.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -277,6 +277,7 @@
 	Send struct {
 		Request, Endpoint string
 		Timeout           time.Duration
+		NotAfter          time.Duration // the attempt must not begin after this time; 0: no such bound
 	}
 	// Cancel withdraws an attempt; its Outcome still comes.
 	Cancel struct {
--- a/balancer/idempotency_test.go
+++ b/balancer/idempotency_test.go
@@ -151,3 +151,31 @@
 		t.Error("two was not sent after the outcome of one")
 	}
 }
+
+// A repeat of a request with an idempotency key tells the end of its window; what never ran has none.
+func TestRepeatsTellTheirWindow(t *testing.T) {
+	for class, bounded := range map[int]bool{
+		idempotent: false, keyedEverywhere: true, keyedInZone: true, keyedInCell: true,
+	} {
+		h := newHarness(t, settings(), 1, endpoints(4))
+		begun := h.now
+		h.keyed("q", class, "")
+		first := h.actions
+		h.now += 10 * ms
+		h.outcome("q", balancer.Reset, 10*ms)
+		actions := append(first, h.advance(200*ms)...)
+		var bounds []time.Duration
+		for _, action := range actions {
+			if send, ok := action.(balancer.Send); ok {
+				bounds = append(bounds, send.NotAfter)
+			}
+		}
+		want := time.Duration(0)
+		if bounded {
+			want = begun + settings().Classes[class].DedupWindow
+		}
+		if len(bounds) != 2 || bounds[0] != 0 || bounds[1] != want {
+			t.Errorf("class %d: attempts not after %v, want 0 and %v", class, bounds, want)
+		}
+	}
+}
--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -7,6 +7,7 @@
 
 	"ashshunt/balancer"
 	"ashshunt/internal/frontend"
+	"ashshunt/internal/upstream"
 )
 
 // startAttempt starts an attempt. Every Send takes the request's next attempt number and gets exactly one outcome.
@@ -31,9 +32,12 @@
 		l.finishAttempt(r, outcome, nil)
 		return
 	}
-	deadline := l.clock.Time(end)
+	bounds := upstream.Bounds{Deadline: l.clock.Time(end)}
+	if action.NotAfter > 0 {
+		bounds.NotAfter = l.clock.Time(action.NotAfter)
+	}
 	go func() { // ends with the attempt, at the deadline at the latest
-		result, response := l.upstream.Attempt(attemptCtx, r.upstream, action.Endpoint, deadline)
+		result, response := l.upstream.Attempt(attemptCtx, r.upstream, action.Endpoint, bounds)
 		outcome.Result = result
 		outcome.Latency = l.clock.At(response.EndedAt) - now
 		outcome.LoadReport = response.LoadReport()
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -95,9 +95,16 @@
 	ClientGone     func() bool     // reports whether the client has left, which the owner may not know yet
 }
 
+// Bounds are the times between which an attempt has to take place.
+type Bounds struct {
+	Deadline time.Time // it has ended by then
+	NotAfter time.Time // it must not begin after this; zero: no such bound
+}
+
 // Attempt forwards a request to an endpoint once and returns the result, and the response if there was one.
 func (c *Client) Attempt(ctx context.Context, request *Request, endpointID string,
-	deadline time.Time) (balancer.Result, Response) {
+	bounds Bounds) (balancer.Result, Response) {
+	deadline := bounds.Deadline
 	// The end of the request ends a dial for it, but not an exchange that has begun.
 	dialCtx, cancelDial := context.WithCancel(ctx)
 	defer cancelDial()
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -106,7 +106,7 @@
 				tt.duringDial(client, request, end)
 				return nil
 			}
-			result, _ := client.Attempt(context.Background(), request, "s0", time.Now().Add(testutil.Timeout))
+			result, _ := client.Attempt(context.Background(), request, "s0", within(testutil.Timeout))
 			if result != tt.want {
 				t.Errorf("result %d, want %d", result, tt.want)
 			}
@@ -201,3 +201,33 @@
 		t.Errorf("result %d, want ServerError", result)
 	}
 }
+
+// An attempt that must not begin after a time does not, also where the agent is held up right before its first byte.
+func TestAttemptDoesNotBeginTooLate(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		left   time.Duration // until the time, as the agent begins to look for a connection
+		heldUp time.Duration
+		want   balancer.Result
+	}{
+		{"in time", testutil.Timeout, 0, balancer.Served},
+		{"too late", -time.Second, 0, balancer.NotSent},
+		{"so late that a hold-up of the machine would be too much", 10 * time.Millisecond, 0, balancer.NotSent},
+		{"held up until it is too late", time.Second, 1100 * time.Millisecond, balancer.NotSent},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			server := testutil.NewServer(t, testutil.Echo)
+			client, request := newTestClient(t, server.Addr()), newUnsafeRequest()
+			request.ClientGone = func() bool { time.Sleep(tt.heldUp); return false }
+			bounds := within(testutil.Timeout)
+			bounds.NotAfter = time.Now().Add(tt.left)
+			if result, _ := client.Attempt(t.Context(), request, "s0", bounds); result != tt.want {
+				t.Errorf("result %d, want %d", result, tt.want)
+			}
+			if served := tt.want == balancer.Served; len(server.Received) > 0 != served {
+				t.Errorf("the endpoint got %d requests", len(server.Received))
+			}
+		})
+	}
+}
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -146,7 +147,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	results := make(chan balancer.Result, 1)
 	go func() {
-		result, _ := client.Attempt(ctx, newUnsafeRequest(), "s0", time.Now().Add(testutil.Timeout))
+		result, _ := client.Attempt(ctx, newUnsafeRequest(), "s0", within(testutil.Timeout))
 		results <- result
 	}()
 	testutil.Receive(t, server.Received)
@@ -188,3 +189,72 @@
 		})
 	}
 }
+
+// respondAndReset answers with raw bytes and resets the connection.
+func respondAndReset(t *testing.T, text string) handler {
+	return func(conn net.Conn, _ *http.Request, _ []byte) bool {
+		write(conn, text)
+		if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
+			t.Error(err)
+		}
+		return false
+	}
+}
+
+// A response with no length ends with its connection: it is complete if that was closed, and not if it was reset or
+// brings no more.
+func TestResponsesWithoutLength(t *testing.T) {
+	const body = "as long as it is"
+	largest := strings.Repeat("x", protocol.MaxBodySize)
+	for _, tt := range []struct {
+		name    string
+		respond handler
+		want    balancer.Result
+		body    string
+	}{
+		{"closed", respondAndClose(okHead + "Connection: close\r\n\r\n" + body), balancer.Served, body},
+		{"closed, HTTP/1.0", respondAndClose("HTTP/1.0 200 OK\r\n\r\n" + body), balancer.Served, body},
+		{"closed, no word on the connection", respondAndClose(okHead + "\r\n" + body), balancer.Served, body},
+		{"closed, the largest body", respondAndClose(okHead + "\r\n" + largest), balancer.Served, largest},
+		{"closed, too large a body", respondAndClose(okHead + "\r\n" + largest + "x"), balancer.ServerError, ""},
+		{"closed within the head", respondAndClose(okHead + "Connection: close\r\n"), balancer.Reset, ""},
+		{"reset", respondAndReset(t, okHead+"\r\n"+body), balancer.Reset, ""},
+		{"kept open", respondAndHang(okHead + "\r\n" + body), balancer.ServerError, ""},
+		{"an error", respondAndClose("HTTP/1.1 500 X\r\n\r\n" + body), balancer.ServerError, body},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			client := newTestClient(t, testutil.NewServer(t, tt.respond).Addr())
+			result, response := client.attempt(testutil.Timeout)
+			if result != tt.want || string(response.Body) != tt.body {
+				t.Errorf("result %d, want %d, with a body of %d bytes: %v", result, tt.want, len(response.Body), response.Err)
+			}
+			if open := client.OpenConnections(); open != 0 {
+				t.Errorf("%d connections are still open", open)
+			}
+		})
+	}
+}
+
+// brokenConn is a connection that breaks by a cause once the request is written.
+type brokenConn struct {
+	net.Conn
+	cause error
+}
+
+func (c brokenConn) Write(p []byte) (int, error)     { return len(p), nil }
+func (c brokenConn) Read([]byte) (int, error)        { return 0, &net.OpError{Op: "read", Err: c.cause} }
+func (c brokenConn) SetDeadline(time.Time) error     { return nil }
+func (c brokenConn) SetReadDeadline(time.Time) error { return nil }
+
+// A connection that breaks is no time-out, whatever the system calls it.
+func TestBrokenConnections(t *testing.T) {
+	for _, cause := range []error{syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH,
+		syscall.EPIPE, syscall.ENETDOWN, syscall.ECONNABORTED} {
+		conn := brokenConn{cause: cause}
+		done := roundTrip(context.Background(), conn, []byte("x"), time.Now().Add(testutil.Timeout), testutil.Timeout)
+		if result := resultOf(done, false); result != balancer.Reset {
+			t.Errorf("%v: result %d, want Reset", cause, result)
+		}
+	}
+}
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -51,9 +51,12 @@
 	}
 }
 
+// within are the bounds of an attempt that has so long.
+func within(timeout time.Duration) Bounds { return Bounds{Deadline: time.Now().Add(timeout)} }
+
 // attempt sends an unsafe request to the endpoint s0.
 func (c *Client) attempt(timeout time.Duration) (balancer.Result, Response) {
-	return c.Attempt(context.Background(), newUnsafeRequest(), "s0", time.Now().Add(timeout))
+	return c.Attempt(context.Background(), newUnsafeRequest(), "s0", within(timeout))
 }
 
 // startAttempt is attempt on a goroutine of its own, which passes the result on.
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -147,7 +147,7 @@
 	client := newTestClient(t, first.Addr(), second.Addr())
 	client.pool.maxConnections = 1
 	client.mustServe(t)
-	result, _ := client.Attempt(context.Background(), newUnsafeRequest(), "s1", time.Now().Add(testutil.Timeout))
+	result, _ := client.Attempt(context.Background(), newUnsafeRequest(), "s1", within(testutil.Timeout))
 	if result != balancer.Served {
 		t.Errorf("result %d, want Served in place of the idle connection", result)
 	}
