Forward responses without a length, and begin no repeat outside its window

Cause: bodyLength refused a response with neither length nor encoding; Attempt looked at the window of repeats only as the module decided, a connect timeout before its end, and a hold-up after the dial came on top of that. Change: a body without a length ends with an orderly close of its connection, a reset or a stall is no end; Send.NotAfter tells the window's end, and nothing begins within 0.1 s of it, since 0.15 s of hold-up may follow and endpoints allow for 0.05 s.

--- a/balancer/idempotency.go
+++ b/balancer/idempotency.go
@@ -32,6 +32,14 @@
 	return true
 }
 
+// repeatWindowEnd is when endpoints no longer drop the next attempt of r as a repeat; 0: it repeats nothing.
+func (b *Balancer) repeatWindowEnd(r *request) time.Duration {
+	if r.class.Idempotency != IdempotentWithKey || r.mayHaveRun == 0 {
+		return 0
+	}
+	return r.firstMayHaveRun.sentAt + r.class.DedupWindow
+}
+
 // keyQueue holds the requests of one key that are not over, oldest first: they run one at a time.
 type keyQueue struct {
 	key        string
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -47,6 +47,7 @@
 	}
 	expected := b.expectedLatency(r)
 	patience := max(unresponsiveShare*float64(r.class.Objective), unresponsiveMeans*expected)
+	notAfter := b.repeatWindowEnd(r)
 	a := &attempt{endpoint: ep, sentAt: b.now, expectedLatency: max(expected, 1), inFlight: true,
 		unresponsiveAfter: time.Duration(patience), newConnection: !b.isConnected(ep)}
 	r.attempts = append(r.attempts, a)
@@ -62,7 +63,7 @@
 	if ep.warmingUp {
 		ep.permitAt = b.now + b.drawPermitDelay(ep, a.expectedLatency)
 	}
-	b.actions = append(b.actions, Send{Request: r.id, Endpoint: ep.ID})
+	b.actions = append(b.actions, Send{Request: r.id, Endpoint: ep.ID, NotAfter: notAfter})
 	b.scheduleHedge(r)
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -22,6 +22,9 @@
 const (
 	// idleWithoutClose is how long connections stay idle to endpoints that never close one themselves.
 	idleWithoutClose = time.Minute
+	// holdUpAllowance is how much earlier than its last moment an attempt begins: a machine may be held up for 0.15 s
+	// between the look at its clock and the write, of which endpoints allow for 0.05 s.
+	holdUpAllowance = 100 * time.Millisecond
 	// minStallTimeout is the least that a response which has begun may pause.
 	minStallTimeout = 100 * time.Millisecond
 )
@@ -101,6 +104,12 @@
 	NotAfter time.Time // it must not begin after this; zero: no such bound
 }
 
+// mayBegin reports whether there is time to begin an attempt now.
+func (b Bounds) mayBegin() bool {
+	now := time.Now()
+	return now.Before(b.Deadline) && (b.NotAfter.IsZero() || now.Add(holdUpAllowance).Before(b.NotAfter))
+}
+
 // Attempt forwards a request to an endpoint once and returns the result, and the response if there was one.
 func (c *Client) Attempt(ctx context.Context, request *Request, endpointID string,
 	bounds Bounds) (balancer.Result, Response) {
@@ -114,7 +123,7 @@
 		return failure.result, failure.response()
 	}
 	// The dial took time: the request may have ended meanwhile. From here to the first byte nothing waits.
-	if request.Done.Err() != nil || request.ClientGone() || ctx.Err() != nil || !time.Now().Before(deadline) {
+	if request.Done.Err() != nil || request.ClientGone() || ctx.Err() != nil || !bounds.mayBegin() {
 		c.pool.release(conn)
 		return balancer.NotSent, Response{EndedAt: time.Now()}
 	}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -24,6 +24,7 @@
 	maxEncodedBodySize  = 2 * protocol.MaxBodySize // bytes of a body with the framing of its chunks
 	maxQuoted           = 40                       // characters of a response that an error quotes
 	lengthOfChunkedBody = -1                       // bodyLength of a body that comes in chunks
+	lengthUntilClose    = -2                       // bodyLength of a body that ends with its connection
 )
 
 // ErrMalformedResponse marks a response that can't be used. Its request may have run.
@@ -109,7 +110,8 @@
 		if err != nil {
 			return r.failure(err), false
 		}
-		return Response{Status: head.status, Header: head.header, Body: body}, head.keepAlive
+		keepAlive = head.keepAlive && length != lengthUntilClose
+		return Response{Status: head.status, Header: head.header, Body: body}, keepAlive
 	}
 	return r.failure(errors.New("too many informational responses")), false
 }
@@ -181,15 +183,17 @@
 	return h.status >= 100 && h.status < 200 && h.status != http.StatusSwitchingProtocols
 }
 
-// bodyLength reads the framing. Two lengths, a length beside an encoding, or neither leave it open where the body
-// ends, and one that is too long is not waited for.
+// bodyLength reads the framing. Two lengths, or a length beside an encoding, leave it open where the body ends, and one
+// that is too long is not waited for.
 func (h responseHead) bodyLength() (int, error) {
 	lengths, encodings := h.header["Content-Length"], h.header["Transfer-Encoding"]
 	switch {
 	case h.status < 200:
 		return 0, fmt.Errorf("status %d", h.status)
+	case len(lengths)+len(encodings) == 0:
+		return lengthUntilClose, nil
 	case len(lengths)+len(encodings) != 1:
-		return 0, errors.New("framed twice or not at all")
+		return 0, errors.New("framed twice")
 	case len(encodings) == 1:
 		if !strings.EqualFold(encodings[0], "chunked") {
 			return 0, fmt.Errorf("encoding %.*q", maxQuoted, encodings[0])
@@ -204,8 +208,11 @@
 }
 
 func readBody(in *bufio.Reader, length int) ([]byte, error) {
-	if length == lengthOfChunkedBody {
+	switch length {
+	case lengthOfChunkedBody:
 		return readChunkedBody(in)
+	case lengthUntilClose:
+		return readAtMost(in, protocol.MaxBodySize)
 	}
 	body := make([]byte, length)
 	_, err := io.ReadFull(in, body)
@@ -213,14 +220,23 @@
 }
 
 func readChunkedBody(in *bufio.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(in), protocol.MaxBodySize+1))
+	body, err := readAtMost(httputil.NewChunkedReader(in), protocol.MaxBodySize)
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > protocol.MaxBodySize {
-		return nil, errors.New("body too long")
-	}
 	// The chunks end with a trailer, empty as a rule.
 	_, err = textproto.NewReader(in).ReadMIMEHeader()
 	return body, err
 }
+
+// readAtMost reads to the orderly end of what is read, which may have so many bytes. A reset is no such end.
+func readAtMost(in io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(in, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, errors.New("body too long")
+	}
+	return body, nil
+}
