--- a/internal/agent/shutdown_test.go
+++ b/internal/agent/shutdown_test.go
@@ -181,3 +181,32 @@
 		}
 	}
 }
+
+// A request that is still incomplete as the time of a shutdown is over, or that comes after that, is rejected before its
+// connection is closed.
+func TestShutdownRejectsIncompleteRequests(t *testing.T) {
+	t.Parallel()
+	config := newConfig(t, testutil.NewServer(t, testutil.Echo))
+	for i := range config.Settings.Classes {
+		config.Settings.Classes[i].Deadline = 500 * time.Millisecond
+	}
+	a := startStoppable(t, config, func(*Agent) {})
+	clients := map[string]net.Conn{}
+	for name, text := range map[string]string{
+		"a byte":      "P",
+		"half a head": "POST /settle HTTP/1.1\r\nHo",
+		"half a body": testutil.Post(id, "Content-Length: 10\r\n") + "half",
+	} {
+		clients[name] = testutil.Dial(t, a.Addr(), text)
+	}
+	testutil.Eventually(t, "the connections", func() bool { open, idle := a.frontend.Connections(); return open == 3 && idle == 0 })
+	a.stop()
+	for name, client := range clients {
+		in := bufio.NewReader(client)
+		response := testutil.ReadResponse(t, in)
+		if response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+			t.Errorf("%s: status %d, close %v", name, response.StatusCode, response.Close)
+		}
+	}
+	a.expectEnd(t)
+}
--- /dev/null
+++ b/internal/frontend/incomplete_test.go
@@ -0,0 +1,68 @@
+package frontend
+
+import (
+	"bufio"
+	"net/http"
+	"testing"
+	"time"
+
+	"ashshunt/internal/testutil"
+)
+
+// incompleteRequests are the beginnings of requests.
+var incompleteRequests = map[string]string{
+	"a byte":      "G",
+	"three bytes": "GET",
+	"half a head": "POST /settle HTTP/1.1\r\nHo",
+	"half a body": testutil.Post(id, "Content-Length: 10\r\n") + "half",
+}
+
+// A client that begins a request and stops gets an error, on a new connection and on one that it has kept.
+func TestIncompleteRequestsAreAnswered(t *testing.T) {
+	for name, text := range incompleteRequests {
+		for kept, before := range map[string]string{"new connection": "", "kept connection": testutil.Get(otherID)} {
+			t.Run(name+", "+kept, func(t *testing.T) {
+				t.Parallel()
+				server, _ := startServer(t, testutil.Config(t, "127.0.0.1:1"), echo, nil)
+				client := testutil.Dial(t, server.Addr(), before)
+				in := bufio.NewReader(client)
+				if before != "" {
+					testutil.ReadResponse(t, in)
+				}
+				testutil.Write(t, client, text)
+				response := testutil.ReadResponse(t, in)
+				if response.StatusCode != http.StatusRequestTimeout || !response.Close {
+					t.Errorf("status %d, close %v", response.StatusCode, response.Close)
+				}
+				if n, err := in.Discard(1); n != 0 || isTimeout(err) {
+					t.Error("the connection was kept")
+				}
+			})
+		}
+	}
+}
+
+// A request that has begun is not closed as idle, however late its connection's idle time was in it.
+func TestRequestBegunWhileIdle(t *testing.T) {
+	for name, text := range incompleteRequests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server, _ := startServer(t, testutil.Config(t, "127.0.0.1:1"), echo, func(s *Server) {
+				s.Timeouts.Idle = time.Second
+			})
+			client := testutil.Dial(t, server.Addr(), testutil.Get(otherID))
+			in := bufio.NewReader(client)
+			testutil.ReadResponse(t, in)
+			whole := testutil.Get(id)
+			if text[0] == 'P' {
+				whole = testutil.Post(id, "Content-Length: 10\r\n") + "half whole"
+			}
+			testutil.Write(t, client, whole[:len(text)])
+			time.Sleep(1200 * time.Millisecond) // past the idle time
+			testutil.Write(t, client, whole[len(text):])
+			if response := testutil.ReadResponse(t, in); response.StatusCode != http.StatusOK {
+				t.Errorf("status %d", response.StatusCode)
+			}
+		})
+	}
+}
