Answer requests that stop half-way, and close no connection over unread bytes

Cause: net/http closes a connection without a word when its read deadline passes, also the idle one under the first three bytes of a request, and readBody closed it when a body took too long, also in the moment in which that became complete. Head and body had 4.5 s in all. frontend.Close closed what was half-read at the end of a shutdown. A close over unread bytes resets the connection and drops the response that is on its way. Change: a connection knows which phase it is in, under the listener's lock. From its first byte on a request has 2.8 s (the first one on a connection from the connect), then 408; at the end of a shutdown 503; both with an end of sending before the close. Whoever is first, the last byte or the refusal, has the request. A connection with unread bytes lingers for up to 0.5 s.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,8 +19,8 @@
 	// acceptPeriod is how long new connections are accepted after a shutdown was asked for: clients learn of it late,
 	// and what waits in the queue of a closed listener is lost.
 	acceptPeriod = 500 * time.Millisecond
-	// finalWriteTime is the time for the last responses of a shutdown to be written.
-	finalWriteTime = 100 * time.Millisecond
+	// finalWriteTime is the time for the last responses of a shutdown to be written and read.
+	finalWriteTime = 150 * time.Millisecond
 	// listenPatience is how long the start is held up by an address that can't be listened on.
 	listenPatience = 5 * time.Second
 )
@@ -103,10 +103,16 @@
 	// No http.Server.Shutdown: that takes a connection for idle until it has read a whole head, and would close it
 	// under the request.
 	a.frontend.CloseAllIdle()
-	remaining := shutdownTimeout(a.loop.settings) - a.acceptPeriod + finalWriteTime
-	waitCtx, cancel := context.WithTimeout(ctx, remaining)
-	defer cancel()
-	a.frontend.WaitUntilEmpty(waitCtx)
+	a.awaitConnections(ctx, shutdownTimeout(a.loop.settings)-a.acceptPeriod)
+	a.frontend.RejectIncomplete()
+	a.awaitConnections(ctx, finalWriteTime)
 	a.log.Info("stopped")
 	return a.frontend.Close()
 }
+
+// awaitConnections waits until no client is connected any more, or a while has passed.
+func (a *Agent) awaitConnections(ctx context.Context, longest time.Duration) {
+	waitCtx, cancel := context.WithTimeout(ctx, longest)
+	defer cancel()
+	a.frontend.WaitUntilEmpty(waitCtx)
+}
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -1,8 +1,11 @@
 package frontend
 
 import (
+	"bytes"
 	"container/list"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -10,15 +13,39 @@
 	"ashshunt/internal/socket"
 )
 
+const (
+	// minReadTime is the least that a request may take to come, however late it began on a new connection.
+	minReadTime = 300 * time.Millisecond
+	// closeLinger and closeLingerBytes bound what is still read of a connection before it is closed over unread bytes.
+	closeLinger      = 500 * time.Millisecond
+	closeLingerBytes = 256 << 10
+)
+
+// phase is what a connection is in the middle of.
+type phase uint8
+
+const (
+	phaseIdle    phase = iota // no byte of a request has come
+	phaseReading              // a request has begun and is not complete
+	phaseServing              // a request is complete, or is being answered with an error
+	phaseRefused              // a request that was not complete has been answered; what comes is dropped
+	phaseRetired              // closed, or about to be; nothing more is read
+)
+
 // connection is one accepted connection. Its first byte ends its idleness at once, before net/http makes a request of
-// it. The fields are guarded by listener.mu.
+// it; from then on the time of the request counts, not the idle time of the connection.
 type connection struct {
 	net.Conn
-	listener    *connectionListener
-	idleElement *list.Element // in listener.idle; nil while a request is open
-	idleSince   time.Time
-	used        bool // it has had a request
-	retired     bool // closed, or about to be: nothing more is read of it
+	listener   *connectionListener
+	acceptedAt time.Time
+
+	// Guarded by listener.mu.
+	phase         phase
+	idleElement   *list.Element // in listener.idle; nil while a request is open
+	idleSince     time.Time
+	used          bool // it has had a request
+	nextBegun     bool // a byte of the next request was read while one was open
+	requestNumber int  // counts the requests that have begun
 }
 
 // connectionKey is the key of a request's connection in the request's context.
@@ -33,29 +60,92 @@
 	return r.Context().Value(connectionKey{}).(*connection)
 }
 
-// markIdle puts the connection on the idle list. The caller holds listener.mu.
+// markIdle puts the connection on the idle list, unless its next request has begun already. The caller holds
+// listener.mu.
 func (c *connection) markIdle() {
-	if c.idleElement == nil && !c.retired {
+	switch {
+	case c.phase == phaseRefused || c.phase == phaseRetired || c.idleElement != nil:
+	case c.nextBegun:
+		c.beginRequest()
+	default:
+		c.phase = phaseIdle
+		delete(c.listener.incomplete, c)
 		c.idleSince = time.Now()
 		c.idleElement = c.listener.idle.PushBack(c)
 	}
 }
 
-// markActive takes the connection off the idle list. The caller holds listener.mu.
-func (c *connection) markActive() {
-	c.used = true
+// leaveIdle takes the connection off the idle list. The caller holds listener.mu.
+func (c *connection) leaveIdle() {
 	if c.idleElement != nil {
 		c.listener.idle.Remove(c.idleElement)
 		c.idleElement = nil
 	}
 }
 
+// beginRequest notes the first byte of a request, which is refused if it does not become complete in time. The caller
+// holds listener.mu.
+func (c *connection) beginRequest() {
+	allowed := c.listener.timeouts.ReadRequest
+	if !c.used { // who connects has so long in all
+		allowed = max(minReadTime, allowed-time.Since(c.acceptedAt))
+	}
+	c.leaveIdle()
+	c.phase = phaseReading
+	c.used = true
+	c.nextBegun = false
+	c.listener.incomplete[c] = struct{}{}
+	c.requestNumber++
+	number := c.requestNumber
+	time.AfterFunc(allowed, func() { c.refuse(number, http.StatusRequestTimeout) })
+	_ = c.Conn.SetReadDeadline(time.Time{}) // that of the idle time; fails on a connection that has ended
+}
+
+// completeRequest notes that a request is complete, or is to be answered with an error, and reports whether it may be:
+// it may have been refused meanwhile.
+func (c *connection) completeRequest() bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.startServing()
+}
+
+// startServing is completeRequest. The caller holds listener.mu.
+func (c *connection) startServing() bool {
+	if c.phase == phaseRefused || c.phase == phaseRetired {
+		return false
+	}
+	c.phase = phaseServing
+	delete(c.listener.incomplete, c)
+	return true
+}
+
+// refuse answers the request of a number that is not complete yet, and ends the sending. net/http, which may be reading
+// it, sees its end.
+func (c *connection) refuse(number, status int) {
+	c.listener.mu.Lock()
+	refused := c.phase == phaseReading && c.requestNumber == number
+	if refused {
+		c.phase = phaseRefused
+		delete(c.listener.incomplete, c)
+	}
+	c.listener.mu.Unlock()
+	if !refused {
+		return
+	}
+	// An error means that the client has gone.
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(closeLinger))
+	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
+	socket.CloseWrite(c.Conn)
+	_ = c.Conn.SetReadDeadline(time.Now()) // ends a read that waits
+}
+
 // retire takes the connection out of use and reports whether it was in use until now; if so, the caller closes it by
 // closeRetired next. The caller holds listener.mu.
 func (c *connection) retire() (first bool) {
-	first = !c.retired
-	c.markActive()
-	c.retired = true
+	first = c.phase != phaseRetired
+	c.leaveIdle()
+	c.phase = phaseRetired
+	delete(c.listener.incomplete, c)
 	return first
 }
 
@@ -79,14 +169,23 @@
 	if err := c.awaitFirstByte(); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	switch {
+	case c.phase == phaseRefused:
+		return 0, net.ErrClosed // what was read belongs to a request that is answered
+	case c.phase == phaseServing && n > 0:
+		c.nextBegun = true // read by net/http as it looked for a disconnect
+	}
+	return n, err
 }
 
-// awaitFirstByte waits until an idle connection has something to be read, and marks it as active.
+// awaitFirstByte waits until an idle connection has something to be read, and notes that a request has begun.
 func (c *connection) awaitFirstByte() error {
 	l := c.listener
 	l.mu.Lock()
-	idle := c.idleElement != nil
+	idle := c.phase == phaseIdle
 	l.mu.Unlock()
 	if idle {
 		if err := socket.WaitReadable(c.Conn); err != nil {
@@ -95,22 +194,67 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.retired {
+	if c.phase == phaseRefused || c.phase == phaseRetired {
 		return net.ErrClosed
 	}
-	if idle {
-		c.markActive()
+	if c.phase == phaseIdle {
+		c.beginRequest()
 	}
 	return nil
 }
 
-// Close closes the connection and gives back its slot.
+// continueLine begins what net/http writes while a request is still being read.
+var continueLine = []byte("HTTP/1.1 100 ")
+
+// Write writes a response. That of net/http to a malformed request ends the reading of it.
+func (c *connection) Write(p []byte) (int, error) {
+	if !c.mayWrite(bytes.HasPrefix(p, continueLine)) {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *connection) mayWrite(readingGoesOn bool) bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if readingGoesOn {
+		return c.phase == phaseReading || c.phase == phaseServing
+	}
+	return c.startServing()
+}
+
+// SetReadDeadline sets the deadline of reads, unless a request is being read: its own time counts then.
+func (c *connection) SetReadDeadline(t time.Time) error {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.phase == phaseReading {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close closes the connection and gives back its slot. A close over unread bytes resets the connection, and a response
+// that is still on its way goes with it: then the sending ends first, and what comes is dropped for a while.
 func (c *connection) Close() error {
 	c.listener.mu.Lock()
+	refused := c.phase == phaseRefused
 	first := c.retire()
 	c.listener.mu.Unlock()
 	if !first {
 		return c.Conn.Close()
 	}
+	if refused || socket.HasUnread(c.Conn) {
+		go c.lingerAndClose() // ends after closeLinger at the latest
+		return nil
+	}
 	return c.closeRetired()
 }
+
+// lingerAndClose ends the sending, drops what still comes, and closes the connection. Errors are of no interest: the
+// connection ends in any case.
+func (c *connection) lingerAndClose() {
+	socket.CloseWrite(c.Conn)
+	_ = c.Conn.SetReadDeadline(time.Now().Add(closeLinger))
+	_, _ = io.CopyN(io.Discard, c.Conn, closeLingerBytes)
+	_ = c.closeRetired()
+}
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -20,6 +20,9 @@
 // errDisconnected reports that a request's client has closed its connection.
 var errDisconnected = errors.New("client disconnected")
 
+// errRefused reports that a request took too long to come and has been answered.
+var errRefused = errors.New("request refused before it was complete")
+
 // errLoopEnded reports that the event loop has ended: no response comes any more.
 var errLoopEnded = errors.New("event loop has ended")
 
@@ -86,7 +89,7 @@
 func (h *handler) answerError(w http.ResponseWriter, r *http.Request, err error) {
 	var invalid *RequestError
 	switch {
-	case errors.As(err, &invalid):
+	case errors.As(err, &invalid) && connectionOf(r).completeRequest():
 		h.reject(w, r, invalid)
 	case errors.Is(err, errLoopEnded):
 		w.WriteHeader(http.StatusBadGateway)
@@ -107,11 +110,14 @@
 	}
 	client := connectionOf(r)
 	if r.ContentLength != 0 {
-		if request.Body, err = readBody(client, r, h.timeouts.ReadBody); err != nil {
+		if request.Body, err = readBody(r); err != nil {
 			return nil, &RequestError{Status: http.StatusBadRequest, Reason: "bad body", Err: err}
 		}
 		arrived = time.Now() // a request's time counts from its last byte
 	}
+	if !client.completeRequest() {
+		return nil, errRefused
+	}
 	// The client may have gone while its request waited to be read.
 	if err := checkDisconnect(client); err != nil {
 		return nil, err
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -37,6 +37,8 @@
 	released chan struct{} // holds one value once a connection has ended
 	stopped  chan struct{} // closed by Close
 	stopOnce sync.Once
+
+	incomplete map[*connection]struct{} // those whose request has begun and is not complete
 }
 
 func newListener(l net.Listener, limit int, timeouts *Timeouts, log *slog.Logger) *connectionListener {
@@ -48,6 +50,8 @@
 		idle:     list.New(),
 		released: make(chan struct{}, 1),
 		stopped:  make(chan struct{}),
+
+		incomplete: map[*connection]struct{}{},
 	}
 }
 
@@ -80,7 +84,7 @@
 	l.mu.Lock()
 	l.open++
 	l.mu.Unlock()
-	return &connection{Conn: socket.NewConn(accepted), listener: l}, nil
+	return &connection{Conn: socket.NewConn(accepted), listener: l, acceptedAt: time.Now()}, nil
 }
 
 // acceptNext takes the next connection. Accept fails for many causes that are over in a moment, and of those that are
@@ -205,6 +209,19 @@
 	}
 }
 
+// refuseIncomplete answers the requests that have begun and are not complete, and closes their connections.
+func (l *connectionListener) refuseIncomplete(status int) {
+	l.mu.Lock()
+	numbers := make(map[*connection]int, len(l.incomplete))
+	for c := range l.incomplete {
+		numbers[c] = c.requestNumber
+	}
+	l.mu.Unlock()
+	for c, number := range numbers {
+		c.refuse(number, status)
+	}
+}
+
 // waitUntilEmpty waits until no connection is open, or ctx ends.
 func (l *connectionListener) waitUntilEmpty(ctx context.Context) {
 	for {
@@ -239,10 +256,12 @@
 	case http.StateNew, http.StateIdle:
 		c.markIdle()
 	case http.StateActive:
-		c.markActive()
+		if c.phase == phaseIdle { // its bytes came with those of the request before
+			c.beginRequest()
+		}
 	}
 	// Its request may have been answered just as the shutdown began, when its response did not close it.
-	end := l.closing && state == http.StateIdle && !c.retired && !socket.HasUnread(c.Conn)
+	end := l.closing && state == http.StateIdle && c.phase == phaseIdle && !socket.HasUnread(c.Conn)
 	if end {
 		c.retire()
 	}
--- a/internal/frontend/listener_test.go
+++ b/internal/frontend/listener_test.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener := newListener(inner, 1, &Timeouts{}, testutil.NewLogger(&testutil.Log{}))
+	listener := newListener(inner, 1, &Timeouts{ReadRequest: testutil.Timeout}, testutil.NewLogger(&testutil.Log{}))
 	t.Cleanup(func() { _ = listener.Close() })
 	return listener
 }
@@ -167,8 +167,8 @@
 	_, conn = listenerClient(t, listener)
 	listener.trackState(conn, http.StateActive)
 	listener.trackState(conn, http.StateIdle) // its response was on its way out as the shutdown began
-	if open, _ := listener.counts(); !conn.retired || open != 0 {
-		t.Errorf("idle in a shutdown: retired %v, %d open", conn.retired, open)
+	if open, _ := listener.counts(); conn.phase != phaseRetired || open != 0 {
+		t.Errorf("idle in a shutdown: phase %d, %d open", conn.phase, open)
 	}
 }
 
--- a/internal/frontend/parse.go
+++ b/internal/frontend/parse.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -197,14 +196,10 @@
 	return &url.URL{Opaque: path, RawQuery: query, ForceQuery: strings.HasSuffix(r.RequestURI, "?")}, nil
 }
 
-// readBody reads a body whose length is known to fit. One that takes too long costs the connection. No read deadline
-// bounds it: that might pass just as the body is complete, and be taken for a disconnect.
-func readBody(client *connection, r *http.Request, timeout time.Duration) ([]byte, error) {
-	timer := time.AfterFunc(timeout, func() { _ = client.Close() })
+// readBody reads a body whose length is known to fit. No read deadline bounds it: that might pass just as the body is
+// complete, and be taken for a disconnect. Its connection refuses a request that takes too long.
+func readBody(r *http.Request) ([]byte, error) {
 	body := make([]byte, r.ContentLength)
 	_, err := io.ReadFull(r.Body, body)
-	if !timer.Stop() {
-		return nil, os.ErrDeadlineExceeded
-	}
 	return body, err
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -17,10 +17,10 @@
 
 // Timeouts bound how long clients may take, and how long their connections are kept.
 type Timeouts struct {
-	// ReadHeader is how long a request's head may take to come, and the first one on a new connection.
-	ReadHeader time.Duration
-	// ReadBody is how long a request's body may take to come, once its head is there.
-	ReadBody time.Duration
+	// FirstByte is how long a new connection may be silent.
+	FirstByte time.Duration
+	// ReadRequest is how long a request may take to come, from its first byte, or from the connect for the first one.
+	ReadRequest time.Duration
 	// Idle ends a connection that has had no request for so long. Clients hold a third of the descriptors at most:
 	// those that stay after one request would keep the others out.
 	Idle time.Duration
@@ -40,8 +40,8 @@
 func DefaultTimeouts() Timeouts {
 	const reclaimIdle = 2 * time.Second
 	return Timeouts{
-		ReadHeader:    2500 * time.Millisecond,
-		ReadBody:      2 * time.Second,
+		FirstByte:     2500 * time.Millisecond,
+		ReadRequest:   2800 * time.Millisecond,
 		Idle:          reclaimIdle + 100*time.Millisecond,
 		ReclaimIdle:   reclaimIdle,
 		ReclaimUnused: 250 * time.Millisecond,
@@ -79,7 +79,7 @@
 
 // Serve answers requests until StopAccepting or Close is called.
 func (s *Server) Serve() error {
-	s.http.ReadHeaderTimeout = s.Timeouts.ReadHeader
+	s.http.ReadHeaderTimeout = s.Timeouts.FirstByte
 	s.http.IdleTimeout = s.Timeouts.Idle
 	return s.http.Serve(s.listener)
 }
@@ -95,6 +95,9 @@
 // CloseAllIdle closes all connections that are without an open request.
 func (s *Server) CloseAllIdle() { s.listener.closeAllIdle() }
 
+// RejectIncomplete rejects the requests that have begun and are not complete, and closes their connections.
+func (s *Server) RejectIncomplete() { s.listener.refuseIncomplete(http.StatusServiceUnavailable) }
+
 // StopAccepting closes the listener. Open connections are not touched.
 func (s *Server) StopAccepting() error { return s.listener.Close() }
 
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -59,3 +59,14 @@
 
 // SyscallConn implements syscall.Conn.
 func (c Conn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+
+// CloseWrite ends the sending on a connection; the other side sees its end behind all that was written. A connection
+// that can't do so, or has ended, stays as it is.
+func CloseWrite(conn net.Conn) {
+	if wrapper, ok := conn.(Conn); ok {
+		conn = wrapper.Conn
+	}
+	if writer, ok := conn.(interface{ CloseWrite() error }); ok {
+		_ = writer.CloseWrite()
+	}
+}
