--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -133,7 +133,7 @@
 		return
 	}
 	// An error means that the client has gone.
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(closeLinger))
+	_ = c.SetWriteDeadline(time.Now().Add(closeLinger))
 	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
 	socket.CloseWrite(c.Conn)
 	_ = c.Conn.SetReadDeadline(time.Now()) // ends a read that waits
