--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"strings"
 	"testing"
-	"testing/iotest"
 	"time"
 
 	"ashshunt/balancer"
@@ -94,17 +92,50 @@
 	}
 }
 
-// Silence is counted from the last byte, not from the last complete list: a slow one is no silence.
-func TestSlowListIsNoSilence(t *testing.T) {
-	reported := 0
-	reader := &watchReader{
-		body:           iotest.OneByteReader(strings.NewReader(indentedList)),
-		onData:         func() { reported++ },
-		bytesRemaining: maxListSize,
-	}
-	if raw, err := io.ReadAll(reader); err != nil || string(raw) != indentedList || reported != len(indentedList) {
-		t.Errorf("%d bytes reported of %d, error %v", reported, len(indentedList), err)
+// tricklingList begins a list that keeps coming, a blank at a time, until the test ends.
+func tricklingList(t *testing.T, server *testutil.Discovery, every time.Duration) {
+	t.Helper()
+	stopped := make(chan struct{})
+	t.Cleanup(func() { close(stopped) })
+	go func() {
+		server.Say <- indentedList[:len(indentedList)/2]
+		for {
+			select {
+			case <-stopped:
+				return
+			case <-time.After(every):
+				server.Say <- ""
+			}
+		}
+	}()
+}
+
+// A list that never becomes complete is given up, however steadily it comes: what it tells counts as received soon.
+func TestTricklingList(t *testing.T) {
+	server := testutil.NewDiscovery(t)
+	client, events := subscribed(t, server, 200*time.Millisecond)
+	testutil.Receive(t, server.Watches)
+	tricklingList(t, server, 20*time.Millisecond)
+	expectFailure(t, events)
+	expectServing(t, client, "s0", true)
+}
+
+// A list that takes longer than a silence may, but comes, is taken.
+func TestSlowList(t *testing.T) {
+	server := testutil.NewDiscovery(t)
+	options, events := newOptions(t, testutil.Config(t, server.Addr, entry("s0", "SERVING")))
+	options.WatchSilence, options.CallTimeout = 300*time.Millisecond, testutil.Timeout
+	client := New(options)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	client.Subscribe(ctx)
+	testutil.Receive(t, server.Watches)
+	for _, line := range strings.Split(indentedList, "\n") {
+		time.Sleep(100 * time.Millisecond)
+		server.Say <- line
 	}
+	expectEvent(t, events, balancer.ListDelta, 1)
+	expectServing(t, client, "s0", false)
 }
 
 // The old watch goes on until the one of the new address has brought the complete list, since a new address may bring
