Give up a list that trickles, and wait longer where lists are slow

Cause: watchReader reported every byte, and each restarted the timer of the silence: a list that came a byte every two seconds was never given up, while what it told counted as received after 6 s. A watch's head and a poll have a bound on the whole already.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -52,6 +52,7 @@
 	keepWatch      bool
 	silenceTimeout time.Duration
 	callTimeout    time.Duration
+	listTime       *listTime
 	log            *slog.Logger
 
 	// applying puts lists in one order, from the check of their version to the event. It is held while OnList runs,
@@ -90,6 +91,7 @@
 	if options.CallTimeout > 0 {
 		c.callTimeout = options.CallTimeout
 	}
+	c.listTime = newListTime(c.callTimeout)
 	c.known.Complete = true
 	c.table.Apply(c.known)
 	return c
--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 )
 
@@ -34,6 +35,8 @@
 const (
 	// minRestartDelay is the least that the unit and the bound of that delay may be.
 	minRestartDelay = 10 * time.Millisecond
+	// maxListTimeGrowth bounds the time that a list may take, in multiples of the least.
+	maxListTimeGrowth = 8
 	// maxDoublings bounds the growth of the delay: all agents of a machine room lose their watches at once.
 	maxDoublings = 3
 )
@@ -64,3 +67,35 @@
 
 // reset has the delays start over.
 func (b *backoff) reset() { b.failures = 0 }
+
+// listTime is how long one list may take to come. It starts at least, and grows where lists are slow, so that a slow
+// discovery is heard in the end. It is safe for concurrent use.
+type listTime struct {
+	least time.Duration
+
+	mu      sync.Mutex // protects current
+	current time.Duration
+}
+
+func newListTime(least time.Duration) *listTime { return &listTime{least: least, current: least} }
+
+// allowed is how long the next list may take.
+func (l *listTime) allowed() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current
+}
+
+// expired notes a list that did not come in time.
+func (l *listTime) expired() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current = min(2*l.current, maxListTimeGrowth*l.least)
+}
+
+// received notes how long a list took.
+func (l *listTime) received(took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current = min(max(l.least, 2*took), maxListTimeGrowth*l.least)
+}
--- a/internal/discovery/timing_test.go
+++ b/internal/discovery/timing_test.go
@@ -74,3 +74,21 @@
 		t.Errorf("delay %v after a reset, want at most %v", delay, unit)
 	}
 }
+
+// Lists that take their time are waited for longer, up to a bound, until they are fast again.
+func TestListTime(t *testing.T) {
+	const least = 2 * time.Second
+	allowance := newListTime(least)
+	for _, want := range []time.Duration{4 * time.Second, 8 * time.Second, 16 * time.Second, 16 * time.Second} {
+		if allowance.expired(); allowance.allowed() != want {
+			t.Errorf("%v after a list that was given up, want %v", allowance.allowed(), want)
+		}
+	}
+	for took, want := range map[time.Duration]time.Duration{
+		0: least, time.Second: least, 3 * time.Second: 6 * time.Second, time.Minute: 16 * time.Second,
+	} {
+		if allowance.received(took); allowance.allowed() != want {
+			t.Errorf("%v after a list that took %v, want %v", allowance.allowed(), took, want)
+		}
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -15,6 +16,7 @@
 var (
 	errSilentWatch      = errors.New("watch fell silent")
 	errListTooLong      = errors.New("list too long")
+	errListTooSlow      = errors.New("list too slow")
 	errChangesBeforeAll = errors.New("changes came before the complete list")
 )
 
@@ -132,17 +134,24 @@
 		return err
 	}
 	defer func() { _ = body.Close() }()
-	restartTimer := func() { silence.Reset(c.silenceTimeout) }
-	restartTimer()
+	silence.Reset(c.silenceTimeout)
 	c.establishWatch(w, false)
 	c.log.Info("watch established", "discovery", w.addr, "since", w.since)
-	return c.readChanges(ctx, w, &watchReader{body: body, onData: restartTimer})
+	reader := &watchReader{body: body, silence: silence, silenceTimeout: c.silenceTimeout}
+	reader.slowList = time.AfterFunc(c.callTimeout, func() { cancel(errListTooSlow) })
+	reader.slowList.Stop() // until a list begins
+	defer reader.slowList.Stop()
+	err = c.readChanges(ctx, w, reader)
+	if errors.Is(err, errListTooSlow) {
+		c.listTime.expired()
+	}
+	return err
 }
 
 // readChanges applies the lists that a watch brings. A list ends where its JSON does, which may be several lines on.
 func (c *Client) readChanges(ctx context.Context, w *watch, reader *watchReader) error {
 	for lists := json.NewDecoder(reader); ; {
-		reader.bytesRemaining = maxListSize
+		reader.expectList(c.listTime.allowed())
 		var raw json.RawMessage
 		if err := lists.Decode(&raw); err != nil {
 			if cause := context.Cause(ctx); cause != nil {
@@ -157,18 +166,39 @@
 		if ctx.Err() != nil { // replaced or silent meanwhile: another watch brings what follows
 			return ctx.Err()
 		}
+		c.listTime.received(reader.listDuration())
 		if !c.applyWatched(w, list) {
 			return errChangesBeforeAll
 		}
 	}
 }
 
-// watchReader reads the body of a watch. It reports every byte, since a slow list is no silence, and bounds the size
-// of one list.
+// watchReader reads the body of a watch and bounds the bytes and the time that one list may take. Between two lists each
+// byte is a sign of life; of a list only its begin is, or one that trickles would never be given up.
 type watchReader struct {
 	body           io.Reader
-	onData         func()
-	bytesRemaining int // what the list may still take
+	silence        *time.Timer // ends the watch after a silence
+	silenceTimeout time.Duration
+	slowList       *time.Timer // ends the watch if a list takes too long
+
+	bytesRemaining int           // what the list may still take
+	timeAllowed    time.Duration // what the list may take
+	listBegan      time.Time     // zero: no byte of it has come
+}
+
+// expectList sets the bounds of the next list.
+func (r *watchReader) expectList(timeAllowed time.Duration) {
+	r.slowList.Stop()
+	r.silence.Reset(r.silenceTimeout)
+	r.bytesRemaining, r.timeAllowed, r.listBegan = maxListSize, timeAllowed, time.Time{}
+}
+
+// listDuration is how long the list that was read last took to come.
+func (r *watchReader) listDuration() time.Duration {
+	if r.listBegan.IsZero() { // it came along with the list before
+		return 0
+	}
+	return time.Since(r.listBegan)
 }
 
 func (r *watchReader) Read(p []byte) (int, error) {
@@ -177,8 +207,14 @@
 	}
 	n, err := r.body.Read(p[:min(len(p), r.bytesRemaining)])
 	r.bytesRemaining -= n
-	if n > 0 {
-		r.onData()
+	switch {
+	case n == 0 || !r.listBegan.IsZero():
+	case len(bytes.TrimSpace(p[:n])) == 0:
+		r.silence.Reset(r.silenceTimeout)
+	default:
+		r.listBegan = time.Now()
+		r.silence.Stop()
+		r.slowList.Reset(r.timeAllowed)
 	}
 	return n, err
 }
