--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -174,3 +174,35 @@
 		}
 	}
 }
+
+// A request that was never sent anywhere is rejected, so that its client may come again, however little time it has.
+func TestRequestsWithLittleTime(t *testing.T) {
+	t.Parallel()
+	a := startAgent(t, newConfig(t, testutil.NewServer(t, testutil.Hang)))
+	for _, timeout := range []string{"1", "3", "5", "10", "20"} {
+		if status := requestStatus(t, a, "POST", "/settle", id, timeout); status != http.StatusServiceUnavailable {
+			t.Errorf("%s ms: status %d, want 503", timeout, status)
+		}
+	}
+}
+
+// A request that comes once all have to be answered is rejected at once, and the decision module hears nothing of it.
+func TestRequestAfterTheTimeOfAShutdown(t *testing.T) {
+	t.Parallel()
+	l := newTestLoop(t)
+	l.startShutdown()
+	l.shutdownDeadline = l.clock.Now()
+	events := len(l.pending)
+	request := submit(l, id, time.Second)
+	select {
+	case response := <-request.Response():
+		if response.Status != http.StatusServiceUnavailable {
+			t.Errorf("status %d, want 503", response.Status)
+		}
+	default:
+		t.Error("it was not answered at once")
+	}
+	if len(l.pending) != events || len(l.requests) != 0 {
+		t.Error("the decision module hears of it")
+	}
+}
