Take extreme settings, and reject what was never sent for lack of time

Cause: clock.Milliseconds converted floats that do not fit an int64; expire answered 502 without a look at whether anything was sent; admit did not look at the time of a shutdown. A long TickMs also held up every request, and the limits in the configuration had to be whole numbers. Change: times of the settings end at a year, steps come 10 ms apart at most, limits may have a fraction.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -19,6 +19,8 @@
 const (
 	// messageBuffer is how many messages may wait for the event loop before their senders do.
 	messageBuffer = 1024
+	// maxTick bounds the gap between two steps. Longer ones make sense in a simulation only: requests would wait for them.
+	maxTick = 10 * time.Millisecond
 	// maxSleep is the longest that the event loop sleeps when nothing is due.
 	maxSleep = time.Minute
 )
@@ -33,6 +35,7 @@
 type eventLoop struct {
 	clock    clock.Clock
 	settings balancer.Settings
+	tick     time.Duration // between two steps
 	module   decisionModule
 	log      *slog.Logger
 
@@ -65,6 +68,7 @@
 	l := &eventLoop{
 		clock:    clock,
 		settings: c.Settings,
+		tick:     min(c.Settings.Tick, maxTick),
 		module:   module,
 		log:      log,
 		table:    table,
@@ -72,7 +76,7 @@
 		messages: make(chan message, messageBuffer),
 		done:     make(chan struct{}),
 		ready:    make(chan struct{}),
-		lastStep: clock.Now() - c.Settings.Tick, // the first step is due at once
+		lastStep: clock.Now() - maxTick, // the first step is due at once
 		requests: map[string]*openRequest{},
 	}
 	l.discovery = discovery.New(l.discoveryOptions(c))
@@ -136,7 +140,7 @@
 
 // nextStep is when the module may be stepped again: steps come a tick apart, and what happens meanwhile makes one
 // batch.
-func (l *eventLoop) nextStep() time.Duration { return l.lastStep + l.settings.Tick }
+func (l *eventLoop) nextStep() time.Duration { return l.lastStep + l.tick }
 
 // nextWake is when the loop has something to do, unless a message comes first.
 func (l *eventLoop) nextWake(now time.Duration) time.Duration {
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -60,7 +60,9 @@
 		client.Respond(frontend.Response{Status: http.StatusBadRequest, Body: []byte("this id is open already\n")})
 		return
 	}
-	if l.settings.MaxOpen > 0 && l.unanswered >= l.settings.MaxOpen {
+	tooMany := l.settings.MaxOpen > 0 && l.unanswered >= l.settings.MaxOpen
+	tooLate := l.shutdownDeadline > 0 && l.clock.Now() >= l.shutdownDeadline
+	if tooMany || tooLate {
 		client.Respond(frontend.Response{Status: http.StatusServiceUnavailable})
 		return
 	}
@@ -80,7 +82,7 @@
 	arrived, deadline := r.client.Arrived, r.client.Deadline
 	// A step comes within a tick of an arrival. When the machine is late with it, the module must not take the delay
 	// for a client with less patience, which it reads as one that retries.
-	event.Timeout = deadline - attemptMargin - arrived - min(now-arrived, l.settings.Tick)
+	event.Timeout = deadline - attemptMargin - arrived - min(now-arrived, l.tick)
 	// An attempt that times out with the request must not do so before the module's deadline for that: the module
 	// would wait for a retry that can't come, until the deadline guard answers.
 	r.attemptDeadline = min(now+event.Timeout, deadline-2*guardMargin)
@@ -180,11 +182,16 @@
 	if r.answered {
 		return
 	}
-	if l.shutdownDeadline == 0 {
+	expected := l.shutdownDeadline > 0 || r.client.Event.Timeout <= attemptMargin
+	if !expected {
 		l.log.Error("internal error: no final answer by the deadline", "id", r.id(),
 			"attempts", len(r.attemptCancels), "in_flight", r.inFlight)
 	}
-	l.respond(r, frontend.Response{Status: http.StatusBadGateway})
+	status := http.StatusBadGateway
+	if expected && len(r.attemptCancels) == 0 { // nothing was sent: its client may come again
+		status = http.StatusServiceUnavailable
+	}
+	l.respond(r, frontend.Response{Status: status})
 	for _, cancel := range r.attemptCancels {
 		if cancel != nil {
 			cancel()
--- a/internal/clock/milliseconds.go
+++ b/internal/clock/milliseconds.go
@@ -5,7 +5,18 @@
 	"time"
 )
 
-// Milliseconds converts a number of milliseconds, which may have a fraction, to the nearest nanosecond.
+// maxDuration is the longest duration that Milliseconds returns, about 146 years: sums of two still fit.
+const maxDuration = time.Duration(1 << 62)
+
+// Milliseconds converts a number of milliseconds, which may have a fraction, to the nearest nanosecond. A number that is
+// out of range becomes the nearest one that is not.
 func Milliseconds(ms float64) time.Duration {
-	return time.Duration(math.Round(ms * float64(time.Millisecond)))
+	nanoseconds := math.Round(ms * float64(time.Millisecond))
+	if math.Abs(nanoseconds) < float64(maxDuration) {
+		return time.Duration(nanoseconds)
+	}
+	if nanoseconds < 0 {
+		return -maxDuration
+	}
+	return maxDuration
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"strconv"
 
@@ -43,7 +44,7 @@
 	Seed      string // hexadecimal
 	Limits    struct {
 		MemoryMB float64 `json:"memory_mb"`
-		Sockets  int
+		Sockets  float64
 	}
 	Known    json.RawMessage // as discovery writes a list
 	Settings json.RawMessage
@@ -79,8 +80,8 @@
 		Name:      valueOrEnv(f.Name, envName),
 		Listen:    valueOrEnv(f.Listen, envListen),
 		Discovery: valueOrEnv(f.Discovery, envDiscovery),
-		MemoryMB:  int(f.Limits.MemoryMB),
-		Sockets:   f.Limits.Sockets,
+		MemoryMB:  int(min(f.Limits.MemoryMB, math.MaxInt32)),
+		Sockets:   int(min(f.Limits.Sockets, math.MaxInt32)),
 	}
 	if err := endpoint.CheckAddress(c.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,11 +3,20 @@
 import (
 	"encoding/json"
 	"strconv"
+	"time"
 
 	"ashshunt/balancer"
 	"ashshunt/internal/clock"
 )
 
+// maxDuration bounds each time of the settings, so that multiples of it still fit into a time.Duration.
+const maxDuration = 365 * 24 * time.Hour
+
+// duration converts a time of the settings.
+func duration(milliseconds float64) time.Duration {
+	return min(clock.Milliseconds(milliseconds), maxDuration)
+}
+
 // Names are the words of the settings object for what the decision module knows by position.
 type Names struct {
 	Classes []string
@@ -49,7 +58,7 @@
 		Tiers:             len(o.Tiers),
 		PriorityByWork:    o.CountedBy == "work",
 		Subscribe:         o.MembershipMode == "subscribe",
-		Tick:              clock.Milliseconds(o.TickMs),
+		Tick:              duration(o.TickMs),
 		MarksRetry:        o.Clients.MarksRetry,
 		CacheAffinity:     o.FamilyInfo.WarmKeys,
 		PassesDeadline:    o.FamilyInfo.PassesDeadline,
@@ -96,13 +105,13 @@
 		return balancer.Class{}, err
 	}
 	return balancer.Class{
-		Objective:        clock.Milliseconds(p.AimMs),
-		Deadline:         clock.Milliseconds(p.DeadlineMs),
+		Objective:        duration(p.AimMs),
+		Deadline:         duration(p.DeadlineMs),
 		Priority:         p.Worth,
 		LatePriority:     p.LateValue,
 		Idempotency:      idempotency,
 		DedupScope:       scope,
-		DedupWindow:      clock.Milliseconds(p.WindowMs),
+		DedupWindow:      duration(p.WindowMs),
 		Ordered:          p.KeepOrder,
 		ObjectiveStretch: p.AimStretch,
 		Streamed:         p.Stream,
@@ -116,25 +125,25 @@
 	s.AllowCancel = l.Cancel
 	s.AllowGossip = l.Peers
 	s.SendRetryAfter = l.RetryAfter
-	s.MaxRetryAfter = clock.Milliseconds(l.MaxRetryAfterMs)
-	s.ConnectTimeout = clock.Milliseconds(l.ConnectTimeoutMs)
-	s.IdleClose = clock.Milliseconds(l.IdleCloseMs)
+	s.MaxRetryAfter = duration(l.MaxRetryAfterMs)
+	s.ConnectTimeout = duration(l.ConnectTimeoutMs)
+	s.IdleClose = duration(l.IdleCloseMs)
 	s.MaxOpen = l.MaxOpen
 	s.StreamsPerConn = l.StreamsPerConn
-	s.CPUPerSecond = clock.Milliseconds(l.CPUUsPerS / 1000)
-	s.CPUPerRequest = clock.Milliseconds(l.CPUUsPerRequest / 1000)
+	s.CPUPerSecond = duration(l.CPUUsPerS / 1000)
+	s.CPUPerRequest = duration(l.CPUUsPerRequest / 1000)
 }
 
 func (c *contract) apply(s *balancer.Settings) {
-	s.DrainGrace = clock.Milliseconds(c.DrainGraceMs)
-	s.ResponseGrace = clock.Milliseconds(c.GraceToAnswerMs)
-	s.PollWithin = clock.Milliseconds(c.AskWithinMs)
+	s.DrainGrace = duration(c.DrainGraceMs)
+	s.ResponseGrace = duration(c.GraceToAnswerMs)
+	s.PollWithin = duration(c.AskWithinMs)
 	s.ColdCapacity = c.ColdFrom
-	s.SlowStart = clock.Milliseconds(c.RampTimeMs)
+	s.SlowStart = duration(c.RampTimeMs)
 	s.ColdOverloadMultiple = c.FallMultiple
-	s.ColdOverloadWindow = clock.Milliseconds(c.FallMs)
+	s.ColdOverloadWindow = duration(c.FallMs)
 	s.RejectedMayHaveRun = c.BusyIsNoProof
-	s.KeyQuietPeriod = clock.Milliseconds(c.KeyRestMs)
+	s.KeyQuietPeriod = duration(c.KeyRestMs)
 }
 
 func (p *prices) apply(s *balancer.Settings) {
