--- a/balancer/slowstart_test.go
+++ b/balancer/slowstart_test.go
@@ -236,7 +236,7 @@
 		{"one is left, which starts", 0, 1, false, 0},
 		{"one is left, which starts, and all agents do", 0, 1, true, 0},
 	} {
-		for _, agents := range []int{20, 30, 350} {
+		for _, agents := range []int{1, 3, 20, 30, 350} {
 			t.Run(fmt.Sprintf("%s/%d agents", tt.name, agents), func(t *testing.T) {
 				t.Parallel()
 				f := fleetSimulation{agents: agents, endpoints: 30, restartAgents: tt.restart, load: 0.7,
