--- a/internal/agent/shutdown_test.go
+++ b/internal/agent/shutdown_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"ashshunt/balancer"
+	"ashshunt/internal/frontend"
 	"ashshunt/internal/testutil"
 )
 
@@ -210,3 +212,44 @@
 	}
 	a.expectEnd(t)
 }
+
+// closeFails is a listener whose close reports an error, though it takes effect.
+type closeFails struct{ net.Listener }
+
+func (l closeFails) Close() error {
+	_ = l.Listener.Close()
+	return syscall.EIO
+}
+
+// A close that fails must not end a shutdown under the requests in flight.
+func TestShutdownWithAFailingClose(t *testing.T) {
+	t.Parallel()
+	gate := make(chan struct{})
+	server := testutil.NewServer(t, func(conn net.Conn, r *http.Request, body []byte) bool {
+		<-gate
+		return testutil.Echo(conn, r, body)
+	})
+	config := newConfig(t, server)
+	a := startStoppable(t, config, func(a *Agent) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = a.frontend.Close() // it has served nothing
+		a.frontend = frontend.NewServer(closeFails{listener}, config, a.loop.clock, a.loop, a.log)
+		a.acceptPeriod = 10 * time.Millisecond
+	})
+	client := testutil.Dial(t, a.Addr(), testutil.Get(id))
+	testutil.Receive(t, server.Received)
+	a.stop()
+	testutil.Eventually(t, "the listener to be closed", func() bool {
+		conn, err := net.Dial("tcp", a.Addr().String())
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
+	close(gate)
+	expectLastResponse(t, client, "in flight as a close failed")
+	a.expectEnd(t)
+}
