Go on with a shutdown when a close fails, and drop the timers of complete requests

Cause: shutDown returned the error of the listener's close, and main ended the process under the requests in flight. Change: errors of closes are ignored there, since the system takes the descriptor back in any case. The timer that refuses a request that does not become complete is stopped once it is.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -97,9 +97,7 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-time.After(a.acceptPeriod):
 	}
-	if err := a.frontend.StopAccepting(); err != nil {
-		return fmt.Errorf("stopping: %w", err)
-	}
+	a.frontend.StopAccepting()
 	// No http.Server.Shutdown: that takes a connection for idle until it has read a whole head, and would close it
 	// under the request.
 	a.frontend.CloseAllIdle()
@@ -107,7 +105,8 @@
 	a.frontend.RejectIncomplete()
 	a.awaitConnections(ctx, finalWriteTime)
 	a.log.Info("stopped")
-	return a.frontend.Close()
+	_ = a.frontend.Close() // whatever fails, nothing is left to be answered
+	return nil
 }
 
 // awaitConnections waits until no client is connected any more, or a while has passed.
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -43,9 +43,10 @@
 	phase         phase
 	idleElement   *list.Element // in listener.idle; nil while a request is open
 	idleSince     time.Time
-	used          bool // it has had a request
-	nextBegun     bool // a byte of the next request was read while one was open
-	requestNumber int  // counts the requests that have begun
+	used          bool        // it has had a request
+	nextBegun     bool        // a byte of the next request was read while one was open
+	requestNumber int         // counts the requests that have begun
+	refuseTimer   *time.Timer // refuses the current request; nil before the first one
 }
 
 // connectionKey is the key of a request's connection in the request's context.
@@ -69,7 +70,7 @@
 		c.beginRequest()
 	default:
 		c.phase = phaseIdle
-		delete(c.listener.incomplete, c)
+		c.stopReading()
 		c.idleSince = time.Now()
 		c.idleElement = c.listener.idle.PushBack(c)
 	}
@@ -97,7 +98,7 @@
 	c.listener.incomplete[c] = struct{}{}
 	c.requestNumber++
 	number := c.requestNumber
-	time.AfterFunc(allowed, func() { c.refuse(number, http.StatusRequestTimeout) })
+	c.refuseTimer = time.AfterFunc(allowed, func() { c.refuse(number, http.StatusRequestTimeout) })
 	_ = c.Conn.SetReadDeadline(time.Time{}) // that of the idle time; fails on a connection that has ended
 }
 
@@ -115,10 +116,18 @@
 		return false
 	}
 	c.phase = phaseServing
-	delete(c.listener.incomplete, c)
+	c.stopReading()
 	return true
 }
 
+// stopReading ends the time of a request to come. The caller holds listener.mu.
+func (c *connection) stopReading() {
+	delete(c.listener.incomplete, c)
+	if c.refuseTimer != nil {
+		c.refuseTimer.Stop() // one that has fired finds another phase
+	}
+}
+
 // refuse answers the request of a number that is not complete yet, and ends the sending. net/http, which may be reading
 // it, sees its end.
 func (c *connection) refuse(number, status int) {
@@ -126,7 +135,7 @@
 	refused := c.phase == phaseReading && c.requestNumber == number
 	if refused {
 		c.phase = phaseRefused
-		delete(c.listener.incomplete, c)
+		c.stopReading()
 	}
 	c.listener.mu.Unlock()
 	if !refused {
@@ -145,7 +154,7 @@
 	first = c.phase != phaseRetired
 	c.leaveIdle()
 	c.phase = phaseRetired
-	delete(c.listener.incomplete, c)
+	c.stopReading()
 	return first
 }
 
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -98,8 +98,9 @@
 // RejectIncomplete rejects the requests that have begun and are not complete, and closes their connections.
 func (s *Server) RejectIncomplete() { s.listener.refuseIncomplete(http.StatusServiceUnavailable) }
 
-// StopAccepting closes the listener. Open connections are not touched.
-func (s *Server) StopAccepting() error { return s.listener.Close() }
+// StopAccepting closes the listener. Open connections are not touched. An error changes nothing: the system takes the
+// descriptor back in any case.
+func (s *Server) StopAccepting() { _ = s.listener.Close() }
 
 // WaitUntilEmpty waits until no connection is open, or ctx ends.
 func (s *Server) WaitUntilEmpty(ctx context.Context) { s.listener.waitUntilEmpty(ctx) }
