--- a/balancer/bench_test.go
+++ b/balancer/bench_test.go
@@ -76,3 +76,38 @@
 		}
 	}
 }
+
+// stepsTime is the time that a balancer takes for so many requests, one after the other, with so many endpoints: the
+// shortest of a few runs.
+func stepsTime(t *testing.T, endpointCount, requests int) time.Duration {
+	t.Helper()
+	shortest := time.Hour
+	for range 3 {
+		lb, err := balancer.New(settings(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list := balancer.EndpointList{Kind: balancer.ListComplete}
+		for i := range endpointCount {
+			list.Endpoints = append(list.Endpoints, balancer.Endpoint{ID: fmt.Sprint("e", i)})
+		}
+		now := time.Hour
+		lb.Step(now, []balancer.Event{list})
+		begin := time.Now()
+		for i := range requests {
+			playOne(lb, &now, i)
+		}
+		shortest = min(shortest, time.Since(begin))
+	}
+	return shortest
+}
+
+// With sixteen times the endpoints, the same requests may take little more time: the standing page allows an agent 1.4
+// times the CPU time in all. Decisions are only a part of that, and so may take twice the time.
+func TestCostWithManyEndpoints(t *testing.T) {
+	const requests, mostGrowth = 300, 2.0
+	few, many := stepsTime(t, 200, requests), stepsTime(t, 3200, requests)
+	if growth := float64(many) / float64(few); growth > mostGrowth {
+		t.Errorf("with 3,200 endpoints decisions take %.1f times what they take with 200", growth)
+	}
+}
