--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -88,7 +88,7 @@
 
 // Each file that the pages name exists.
 func TestNamedFilesExist(t *testing.T) {
-	for _, name := range []string{"../README.md", "../NOTES.md", "ARCHITECTURE.md", "OPERATIONS.md", "QUESTIONS.md"} {
+	for _, name := range []string{"../README.md", "../NOTES.md", "ARCHITECTURE.md", "OPERATIONS.md", "QUESTIONS.md", "terms-audit.md"} {
 		page, err := os.ReadFile(name)
 		if err != nil {
 			t.Fatal(err)
@@ -177,3 +177,34 @@
 	name = strings.ToLower(name)
 	return name == "log" || name == "logger" || name == "slog"
 }
+
+var testName = regexp.MustCompile(`\bTest[A-Z]\w*`)
+
+// Each test that the audit names exists.
+func TestAuditNamesTests(t *testing.T) {
+	page, err := os.ReadFile("terms-audit.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	existing := map[string]bool{}
+	for _, dir := range []string{"../balancer", "../cmd", "../docs", "../internal"} {
+		err := filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			for _, match := range regexp.MustCompile(`(?m)^func (Test\w+)\(`).FindAllStringSubmatch(string(text), -1) {
+				existing[match[1]] = true
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, name := range testName.FindAllString(string(page), -1) {
+		if !existing[name] {
+			t.Errorf("terms-audit.md names %s, which does not exist", name)
+		}
+	}
+}
