--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -26,12 +26,18 @@
 	quietKeys    []*keyQueue // those in a quiet period, which may be over, in the order of its end
 
 	endpoints      []*endpoint // in the order in which they were first listed
+	touched        []*endpoint // those that are looked at one by one
+	untouched      untouchedEndpoints
 	endpointByID   map[string]*endpoint
 	fleet          fleetSummary
 	subscribeTimer int64 // its token
 	listFailures   int   // in a row
 
-	candidates       []candidate // of one pick; kept for its memory alone
+	// Of one pick; kept for their memory alone.
+	candidates      []candidate
+	connectedOthers []candidate // outside the subset
+	others          []otherCandidate
+
 	retryTokens      float64
 	limit            concurrencyLimit
 	traffic          recentTraffic
@@ -119,7 +125,7 @@
 		b.onServed(r)
 	}
 	if a.endpoint.isGone() {
-		b.dropRemoved()
+		b.forget(a.endpoint)
 	}
 	if event.Done || event.Result == Served || r.ended {
 		b.closeRequest(r)
--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -18,6 +17,7 @@
 	hash       uint64
 	preference float64    // its place in this agent's own order if all were alike, the least first
 	inFlight   []*attempt // oldest first
+	touched    bool       // it is not, or no longer, among the untouched ones
 
 	connected                 bool // as far as is known, and not rejecting requests
 	connectionUsedAt          time.Duration
@@ -58,17 +58,29 @@
 	if failed {
 		return
 	}
-	listed := map[string]bool{}
 	for _, entry := range list.Endpoints {
-		listed[entry.ID] = true
 		b.applyEntry(entry)
 	}
-	for _, ep := range b.endpoints {
-		if list.Kind != ListDelta && !listed[ep.ID] {
+	if list.Kind != ListDelta {
+		b.removeUnlisted(list.Endpoints)
+	}
+}
+
+// removeUnlisted removes the endpoints that a complete list does not name.
+func (b *Balancer) removeUnlisted(entries []Endpoint) {
+	listed := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		listed[entry.ID] = true
+	}
+	for _, ep := range slices.Clone(b.endpoints) {
+		if !listed[ep.ID] {
+			b.touch(ep)
 			ep.State = Removed
+			if ep.isGone() {
+				b.forget(ep)
+			}
 		}
 	}
-	b.dropRemoved()
 }
 
 func (b *Balancer) applyEntry(entry Endpoint) {
@@ -77,23 +89,48 @@
 		return
 	}
 	if ep == nil {
-		ep = &endpoint{hash: xxhash.Sum64String(entry.ID), preference: b.rng.ExpFloat64()}
-		ep.classEjections = make([]classEjection, len(b.classes))
-		b.endpointByID[entry.ID] = ep
-		b.endpoints = append(b.endpoints, ep)
+		ep = b.addEndpoint(entry)
+	}
+	asListed := entry.State == Serving && entry.Zone == ep.Zone && entry.Weight == ep.Weight
+	if !asListed || entry.Started > ep.Started {
+		b.touch(ep)
 	}
 	if entry.Started > ep.Started {
 		b.startWarmUp(ep, min(max(entry.Started, ep.startedAt), b.now))
 		ep.ejectionLevel, ep.ejectedUntil, ep.unreachable = 0, 0, false
 	}
 	ep.Endpoint = entry
+	if ep.isGone() {
+		b.forget(ep)
+	}
+}
+
+// addEndpoint adds an endpoint of which nothing is known but that it is listed.
+func (b *Balancer) addEndpoint(entry Endpoint) *endpoint {
+	ep := &endpoint{Endpoint: entry, hash: xxhash.Sum64String(entry.ID), preference: b.rng.ExpFloat64()}
+	ep.Started = 0 // applyEntry compares
+	ep.classEjections = make([]classEjection, len(b.classes))
+	b.endpointByID[entry.ID] = ep
+	b.endpoints = append(b.endpoints, ep)
+	b.addUntouched(ep)
+	return ep
 }
 
 func (ep *endpoint) isGone() bool { return ep.State == Removed && len(ep.inFlight) == 0 }
 
-func (b *Balancer) dropRemoved() {
-	b.endpoints = slices.DeleteFunc(b.endpoints, (*endpoint).isGone)
-	maps.DeleteFunc(b.endpointByID, func(_ string, ep *endpoint) bool { return ep.isGone() })
+// forget drops an endpoint that is gone.
+func (b *Balancer) forget(ep *endpoint) {
+	b.endpoints = deleteEndpoint(b.endpoints, ep)
+	b.touched = deleteEndpoint(b.touched, ep)
+	delete(b.endpointByID, ep.ID)
+}
+
+func deleteEndpoint(endpoints []*endpoint, ep *endpoint) []*endpoint {
+	i := slices.Index(endpoints, ep)
+	if i < 0 {
+		return endpoints
+	}
+	return slices.Delete(endpoints, i, i+1)
 }
 
 // scheduleSubscribe asks for the list after a fully jittered wait, which grows with the number of agents.
@@ -110,8 +147,9 @@
 }
 
 func (b *Balancer) measureFleet() {
-	b.fleet = fleetSummary{}
-	for _, ep := range b.endpoints {
+	untouched := b.untouched.count()
+	b.fleet = fleetSummary{serving: untouched, warm: untouched, capacity: float64(untouched)}
+	for _, ep := range b.touched {
 		if ep.State == Serving {
 			b.fleet.serving++
 			if !ep.warmingUp {
--- a/balancer/export_test.go
+++ b/balancer/export_test.go
@@ -10,4 +10,6 @@
 }
 
 // EndpointCount counts the endpoints that a Balancer keeps.
-func (b *Balancer) EndpointCount() int { return max(len(b.endpoints), len(b.endpointByID)) }
+func (b *Balancer) EndpointCount() int {
+	return max(len(b.endpoints), len(b.endpointByID), len(b.touched)+b.untouched.count())
+}
--- a/balancer/outlier.go
+++ b/balancer/outlier.go
@@ -171,7 +171,7 @@
 
 func (b *Balancer) mayEject() bool {
 	ejected := 0.0
-	for _, ep := range b.endpoints {
+	for _, ep := range b.touched {
 		if ep.State == Serving && b.isEjected(ep) {
 			ejected++
 		}
--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"encoding/binary"
 	"math"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -34,44 +33,22 @@
 // where all are ejected, the least harmful of these. nil: none may be used now.
 func (b *Balancer) pick(r *request) *endpoint {
 	b.traffic.peakInFlight = max(b.traffic.peakInFlight, b.activeInFlight())
-	ejected := b.collectCandidates(r)
-	slices.SortFunc(b.candidates, func(x, y candidate) int { return cmp.Compare(x.preference, y.preference) })
-	idle, busy := b.chooseIdleAndBusy(r)
+	subset := minSubset + subsetPerAttempt*b.traffic.peakInFlight
+	ejected := b.collectCandidates(r, subset)
+	idle, busy := b.chooseIdleAndBusy(r, subset)
 	busyLoad := math.Inf(1)
 	if busy != nil {
 		busyLoad, _ = b.loadAndSlowness(busy)
 	}
-	for tier, ep := range idle {
-		if ep != nil && (tier != tierOther || busyLoad >= fullLoad) {
-			return ep
-		}
+	if preferred := cmp.Or(idle[tierSubset], idle[tierConnected]); preferred != nil {
+		return preferred
 	}
-	return cmp.Or(busy, ejected)
-}
-
-// collectCandidates lists the endpoints that may get r. It returns the best of those that are ejected.
-func (b *Balancer) collectCandidates(r *request) (ejected *endpoint) {
-	newcomerLoad, leastHarm := b.meanLoad(), math.Inf(1)
-	maxLoad := max(fullLoad, maxEndpointShare*b.limit.perEndpoint/float64(b.settings.Agents))
-	crossZoneFactor := b.crossZoneFactor()
-	b.candidates = b.candidates[:0]
-	for _, ep := range b.endpoints {
-		load, slowness := b.loadAndSlowness(ep)
-		if load >= maxLoad || !b.isEligible(r, ep) {
-			continue
+	if busyLoad >= fullLoad {
+		if other := cmp.Or(idle[tierOther], b.drawOther(r)); other != nil {
+			return other
 		}
-		if !b.isHealthy(ep, r) {
-			if harm := ep.ejectionLevel + b.rng.Float64() + load; harm < leastHarm {
-				ejected, leastHarm = ep, harm
-			}
-			continue
-		}
-		if !ep.hasServed {
-			load = newcomerLoad
-		}
-		b.candidates = append(b.candidates, b.newCandidate(ep, load, slowness, crossZoneFactor))
 	}
-	return ejected
+	return cmp.Or(busy, ejected)
 }
 
 func (b *Balancer) isEligible(r *request, ep *endpoint) bool {
@@ -81,8 +58,7 @@
 }
 
 func (b *Balancer) newCandidate(ep *endpoint, load, slowness, crossZoneFactor float64) candidate {
-	size := cmp.Or(max(0, ep.Weight), 1) // without weights all are alike
-	weight := size * b.warmUpFraction(ep) / (slowness * slowness * slowness)
+	weight := ep.size() * b.warmUpFraction(ep) / (slowness * slowness * slowness)
 	if ep.Zone != b.settings.Zone {
 		weight /= crossZoneFactor
 	}
@@ -93,9 +69,12 @@
 	return candidate{ep, load, slowness, weight, preference}
 }
 
+// size is the listed size; without sizes all are alike.
+func (ep *endpoint) size() float64 { return cmp.Or(max(0, ep.Weight), 1) }
+
 func (b *Balancer) meanLoad() float64 {
 	sum, count := 0.0, 0
-	for _, ep := range b.endpoints {
+	for _, ep := range b.touched {
 		if ep.State == Serving && ep.hasServed {
 			load, _ := b.loadAndSlowness(ep)
 			sum += load
@@ -119,9 +98,9 @@
 }
 
 // chooseIdleAndBusy draws an idle candidate of each tier by weight, and takes the least loaded busy one.
-func (b *Balancer) chooseIdleAndBusy(r *request) (idle [tierCount]*endpoint, busy *endpoint) {
+func (b *Balancer) chooseIdleAndBusy(r *request, subset float64) (idle [tierCount]*endpoint, busy *endpoint) {
 	leastScore, leastWait := math.Inf(1), [tierCount]float64{math.Inf(1), math.Inf(1), math.Inf(1)}
-	subset, trustsNew := minSubset+subsetPerAttempt*b.traffic.peakInFlight, b.trustsNewConnections(r)
+	trustsNew := b.trustsNewConnections(r)
 	for position, c := range b.candidates {
 		connected := b.isConnected(c.endpoint)
 		if c.load >= 1 && connected {
@@ -131,7 +110,7 @@
 			}
 			continue
 		}
-		joins := c.endpoint.warmingUp && (connected || 2*subset < float64(b.fleet.serving))
+		joins := c.endpoint.warmingUp && (connected || b.warmingJoinSubset(subset))
 		tier := tierOther
 		if float64(position) < subset || trustsNew || joins {
 			tier = tierSubset
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -55,6 +55,7 @@
 	if r.mayHaveRun++; r.firstMayHaveRun == nil {
 		r.firstMayHaveRun = a
 	}
+	b.touch(ep)
 	ep.inFlight = append(ep.inFlight, a)
 	b.inFlight++
 	if len(r.attempts) == 1 {
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -8,6 +8,7 @@
 const maxWarmingCost = 2.0 // mean latencies: no heavier request goes to an endpoint that warms up
 
 func (b *Balancer) startWarmUp(ep *endpoint, at time.Duration) {
+	b.touch(ep)
 	ep.startedAt, ep.warmingUp, ep.hasServed, ep.connected = at, true, false, false
 	ep.slowness, ep.slownessSamples = 0, 0
 	ep.permitAt = b.now + b.drawPermitDelay(ep, b.classes[0].meanLatency)
