Trust the wall clock where a list proves little of its endpoints' ages

An agent took them all for cold, and shed half of its requests. Change: a complete list most of whose endpoints started within one slow start counts by this machine's clock alone; and since lists come seconds late, an endpoint is 1 s older than the list proves, if this machine's clock agrees.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -36,6 +36,7 @@
 	ConnectTimeout time.Duration // unit of the backoff between two such watches
 	DrainGrace     time.Duration // bounds it: requests to a draining endpoint are tolerated for so long
 	Seed           uint64        // of its jitter
+	SlowStart      time.Duration // after which an endpoint that has started is warm
 
 	WatchSilence time.Duration // how long a watch may bring nothing; 0: the default
 	CallTimeout  time.Duration // how long a poll may take, or a watch until its first byte; 0: the default
@@ -75,7 +76,7 @@
 		table:          options.Table,
 		retire:         options.Retire,
 		onList:         options.OnList,
-		convert:        converter{zones: options.Zones, kinds: options.Kinds, starts: newStartTimes(options.Clock)},
+		convert:        converter{zones: options.Zones, kinds: options.Kinds, starts: newStartTimes(options.Clock, options.SlowStart)},
 		known:          options.Known,
 		keepWatch:      options.KeepWatch,
 		silenceTimeout: watchSilenceTimeout,
--- a/internal/discovery/helpers_test.go
+++ b/internal/discovery/helpers_test.go
@@ -32,6 +32,7 @@
 		ConnectTimeout: c.Settings.ConnectTimeout,
 		DrainGrace:     c.Settings.DrainGrace,
 		Seed:           c.Seed,
+		SlowStart:      c.Settings.SlowStart,
 	}, events
 }
 
--- a/internal/discovery/starttimes.go
+++ b/internal/discovery/starttimes.go
@@ -7,14 +7,19 @@
 	"ashshunt/internal/endpoint"
 )
 
+// leastListDelay is how late lists tell of a start at the least, so that the endpoint is that old. Lists come seconds
+// late; where one comes earlier, the clocks have to be off as well for an endpoint to pass for too old, by this much.
+const leastListDelay = time.Second
+
 // startTimes converts the start times of endpoints from Unix time to the agent's clock. A wall clock may be off by any
 // amount, this machine's or another one's, and an endpoint that passes for older than it is may get too much before it
 // is warm. So an endpoint is taken to be as old as two clocks agree on: this machine's, and the one by which the
 // endpoints themselves started, of which the list proves that it has passed the newest start. It is not safe for
 // concurrent use.
 type startTimes struct {
-	clock clock.Clock
-	known map[string]knownStart // by endpoint ID
+	clock     clock.Clock
+	slowStart time.Duration         // after which an endpoint is warm
+	known     map[string]knownStart // by endpoint ID
 
 	newest       time.Duration // the latest start by Unix time that a list has told ...
 	newestSeenAt time.Duration // ... and when, on the agent's clock
@@ -26,8 +31,8 @@
 	at   time.Duration // on the agent's clock
 }
 
-func newStartTimes(agentClock clock.Clock) *startTimes {
-	return &startTimes{clock: agentClock, known: map[string]knownStart{}}
+func newStartTimes(agentClock clock.Clock, slowStart time.Duration) *startTimes {
+	return &startTimes{clock: agentClock, slowStart: slowStart, known: map[string]knownStart{}}
 }
 
 // update takes over the start times of a list.
@@ -36,6 +41,7 @@
 	for _, entry := range list.Entries {
 		s.observeNewest(entry.Started(), now)
 	}
+	wallClockAlone := list.Complete && s.provesLittle(list, now)
 	previous := s.known
 	if list.Complete {
 		s.known = make(map[string]knownStart, len(list.Entries))
@@ -47,7 +53,7 @@
 		case known && start.unix == entry.Started():
 			s.known[entry.ID] = start
 		case entry.Started() > 0:
-			s.known[entry.ID] = knownStart{unix: entry.Started(), at: s.convert(entry.Started(), start, now)}
+			s.known[entry.ID] = knownStart{unix: entry.Started(), at: s.convert(entry.Started(), start, now, wallClockAlone)}
 		}
 	}
 }
@@ -59,15 +65,34 @@
 	}
 }
 
+// provesLittle reports whether a complete list can't tell that most of its endpoints are warm, since they started at about
+// the same time, be it long ago. To take them all for cold would shed most requests for the time of a slow start.
+func (s *startTimes) provesLittle(list endpoint.List, now time.Duration) bool {
+	unproven := 0
+	for _, entry := range list.Entries {
+		if entry.Started() > 0 && s.ageByList(entry.Started(), now) < s.slowStart {
+			unproven++
+		}
+	}
+	return 2*unproven > len(list.Entries)
+}
+
+// ageByList is the age that the newest start proves.
+func (s *startTimes) ageByList(unix, now time.Duration) time.Duration {
+	return s.newest + (now - s.newestSeenAt) - unix
+}
+
 // convert is when an endpoint started on the agent's clock, after the start that was known of it before.
-func (s *startTimes) convert(unix time.Duration, previous knownStart, now time.Duration) time.Duration {
+func (s *startTimes) convert(unix time.Duration, previous knownStart, now time.Duration,
+	wallClockAlone bool) time.Duration {
 	if unix < previous.unix { // some clock was set back: it started since the list before, and no one knows when
 		return now
 	}
-	byList := s.newest + (now - s.newestSeenAt) - unix
-	byWallClock := time.Duration(time.Now().UnixNano()) - unix
-	age := max(0, min(byList, byWallClock))
-	return min(now, max(now-age, previous.at+1)) // a later start has a later time
+	age := time.Duration(time.Now().UnixNano()) - unix
+	if !wallClockAlone {
+		age = min(age, s.ageByList(unix, now)+leastListDelay)
+	}
+	return min(now, max(now-max(0, age), previous.at+1)) // a later start has a later time
 }
 
 // of is when an endpoint started, on the agent's clock; 0: long ago.
