Keep the place of endpoints whose size or zone the list changes, and test all places

An untouched endpoint whose listed size or zone changes moves in the order; where sizes shift from list to list all would else become touched in time.

--- a/balancer/candidates.go
+++ b/balancer/candidates.go
@@ -6,15 +6,20 @@
 	"slices"
 )
 
-// otherCandidate is a candidate that the pick does not look at by itself: neither in the subset nor connected.
+// maxDraws bounds the draws for one pick: each may meet an endpoint that is small, or that may not get the
+// request.
+const maxDraws = 50
+
+// otherCandidate is a candidate that the pick does not look at by itself: neither in the subset nor
+// connected.
 type otherCandidate struct {
 	endpoint *endpoint
 	weight   float64 // in a random choice
 }
 
-// collectCandidates lists the endpoints that may get r. It returns the best of those that are ejected. Those of the
-// subset and those that are connected become candidates, in the order of their preference. Of the others, which in a
-// large fleet are nearly all, one is drawn only if the pick comes to that.
+// collectCandidates lists the endpoints that may get r. It returns the best of those that are ejected. Those
+// of the subset and those that are connected become candidates, in the order of their preference. Of the
+// others, which in a large fleet are nearly all, one is drawn only if the pick comes to that.
 func (b *Balancer) collectCandidates(r *request, subset float64) (ejected *endpoint) {
 	newcomerLoad, leastHarm := b.meanLoad(), math.Inf(1)
 	maxLoad := max(fullLoad, maxEndpointShare*b.limit.perEndpoint/float64(b.settings.Agents))
@@ -58,7 +63,8 @@
 
 func compareCandidates(x, y candidate) int { return cmp.Compare(x.preference, y.preference) }
 
-// addCandidate adds a candidate to the subset, which holds the first few in the order of preference, or to those outside.
+// addCandidate adds a candidate to the subset, which holds the first few in the order of preference, or to
+// those outside.
 func (b *Balancer) addCandidate(c candidate, subset float64, subsetSize int) {
 	if len(b.candidates) < subsetSize {
 		b.candidates = append(b.candidates, c)
@@ -85,11 +91,12 @@
 	}
 }
 
-// warmingJoinSubset reports whether endpoints that warm up belong to the subset without a connection: in a fleet that is
-// large for its subset most agents would else never send to them.
+// warmingJoinSubset reports whether endpoints that warm up belong to the subset without a connection: in a
+// fleet that is large for its subset most agents would else never send to them.
 func (b *Balancer) warmingJoinSubset(subset float64) bool { return 2*subset < float64(b.fleet.serving) }
 
-// drawOther draws one of the candidates outside the subset that are not connected, by weight; nil: there is none.
+// drawOther draws one of the candidates outside the subset that are not connected, by weight; nil: none was
+// found.
 func (b *Balancer) drawOther(r *request) *endpoint {
 	touched := 0.0
 	for _, other := range b.others {
@@ -116,9 +123,6 @@
 	return nil
 }
 
-// maxDraws bounds the draws for one pick: each may meet an endpoint that is small, or that may not get the request.
-const maxDraws = 50
-
 // otherAt returns the one of the others at which the sum of their weights reaches target.
 func (b *Balancer) otherAt(target float64) *endpoint {
 	for _, other := range b.others {
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -30,15 +30,17 @@
 // open requests the lowest priorities are given up, since newcomers would else be rejected whatever
 // their priority.
 //
-// # Picking (picker.go)
+// # Picking (picker.go, candidates.go, untouched.go)
 //
 // An idle endpoint is picked at random, by weight: its listed size, over the cube of its slowness,
 // less where crossing zones has a price. If there is none, the least loaded one is. An agent keeps to
 // a subset, the first few in a random order of its own, since connections from every agent to every
 // endpoint would exhaust the connection tables; the order gives new endpoints a place like any other.
-// Connected endpoints are preferred. With cache affinity the draw comes from the request's key, the
-// same at every agent, so that a key meets the endpoint that has cached it; the subset does not matter
-// then, unless endpoints without a connection respond on time less often than connected ones.
+// Endpoints of which nothing was learnt are kept in that order and are not looked at one by one, so that the
+// cost of a pick does not grow with the fleet. Connected endpoints are preferred. With cache affinity the draw
+// comes from the request's key, the same at every agent, so that a key meets the endpoint that has cached it;
+// the subset does not matter then, unless endpoints without a connection respond on time less often than
+// connected ones.
 //
 // # Retries and hedging (retry.go)
 //
--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -91,15 +91,14 @@
 	if ep == nil {
 		ep = b.addEndpoint(entry)
 	}
-	asListed := entry.State == Serving && entry.Zone == ep.Zone && entry.Weight == ep.Weight
-	if !asListed || entry.Started > ep.Started {
+	if entry.State != Serving {
 		b.touch(ep)
 	}
 	if entry.Started > ep.Started {
 		b.startWarmUp(ep, min(max(entry.Started, ep.startedAt), b.now))
 		ep.ejectionLevel, ep.ejectedUntil, ep.unreachable = 0, 0, false
 	}
-	ep.Endpoint = entry
+	b.relist(ep, entry)
 	if ep.isGone() {
 		b.forget(ep)
 	}
--- a/balancer/export_test.go
+++ b/balancer/export_test.go
@@ -1,5 +1,10 @@
 package balancer
 
+import (
+	"fmt"
+	"slices"
+)
+
 // StateSize counts what a Balancer keeps: requests, queued ones, timers, keys and attempts out.
 func (b *Balancer) StateSize() int {
 	n := len(b.requests) + len(b.queue) + len(b.timers) + len(b.keyQueues) + len(b.quietKeys)
@@ -13,3 +18,28 @@
 func (b *Balancer) EndpointCount() int {
 	return max(len(b.endpoints), len(b.endpointByID), len(b.touched)+b.untouched.count())
 }
+
+// CheckOrder returns an error unless each endpoint is kept in the one place where it belongs.
+func (b *Balancer) CheckOrder() error {
+	if len(b.endpoints) != len(b.touched)+b.untouched.count() || len(b.endpoints) != len(b.endpointByID) {
+		return fmt.Errorf("%d endpoints, %d by ID, %d touched, %d untouched", len(b.endpoints),
+			len(b.endpointByID), len(b.touched), b.untouched.count())
+	}
+	for _, order := range []preferenceOrder{b.untouched.ownZone, b.untouched.otherZones} {
+		if !slices.IsSortedFunc(order, comparePreference) {
+			return fmt.Errorf("the untouched endpoints are not in order")
+		}
+	}
+	for _, ep := range b.endpoints {
+		place := []*endpoint(*b.orderOf(ep))
+		if ep.touched {
+			place = b.touched
+		} else if ep.State != Serving || len(ep.inFlight) > 0 || ep.warmingUp {
+			return fmt.Errorf("%s passes for untouched", ep.ID)
+		}
+		if !slices.Contains(place, ep) {
+			return fmt.Errorf("%s is not where it belongs", ep.ID)
+		}
+	}
+	return nil
+}
--- a/balancer/outlier.go
+++ b/balancer/outlier.go
@@ -150,9 +150,9 @@
 	}
 }
 
-// observeLocalFailure keeps an endpoint that can't be reached from here from drawing the traffic, as one that fails fast
-// is always idle. The cause may be this machine: that an endpoint was restarted can't be told from it, and the bound on
-// ejected endpoints holds.
+// observeLocalFailure keeps an endpoint that can't be reached from here from drawing the traffic, as one that
+// fails fast is always idle. The cause may be this machine: that an endpoint was restarted can't be told from
+// it, and the bound on ejected endpoints holds.
 func (b *Balancer) observeLocalFailure(r *request, a *attempt, outcome Outcome) {
 	a.endpoint.rejectingUntil = b.drawRejectingUntil(r)
 	if len(r.attempts) == 1 {
--- a/balancer/untouched.go
+++ b/balancer/untouched.go
@@ -5,9 +5,9 @@
 	"slices"
 )
 
-// untouchedEndpoints are the endpoints that serve and are as they were first listed. In a large fleet these are nearly
-// all, and the cost of a pick must not grow with their number: they are kept in the order of their preference, those of
-// this agent's zone apart from the others, since the price of crossing zones changes.
+// untouchedEndpoints are the endpoints that serve and are as they were first listed. In a large fleet these
+// are nearly all, and the cost of a pick must not grow with their number: they are kept in the order of their
+// preference, those of this agent's zone apart from the others, since the price of crossing zones changes.
 type untouchedEndpoints struct {
 	ownZone, otherZones preferenceOrder
 	largestSize         float64 // that any of them had
@@ -59,11 +59,27 @@
 	b.touched = append(b.touched, ep)
 }
 
+// relist takes over what the list now says of an endpoint.
+func (b *Balancer) relist(ep *endpoint, entry Endpoint) {
+	if ep.touched {
+		ep.Endpoint = entry
+		return
+	}
+	if entry.Zone != ep.Zone || entry.Weight != ep.Weight { // it has another place in the order
+		b.orderOf(ep).remove(ep)
+		ep.Endpoint = entry
+		b.addUntouched(ep)
+		return
+	}
+	ep.Endpoint = entry
+}
+
 func (u *untouchedEndpoints) count() int { return len(u.ownZone) + len(u.otherZones) }
 
-// walk calls visit for the untouched endpoints in the order of their preference, which it passes on, until visit returns
-// false.
-func (u *untouchedEndpoints) walk(crossZoneFactor float64, visit func(ep *endpoint, preference float64) bool) {
+// walk calls visit for the untouched endpoints in the order of their preference, which it passes on, until
+// visit returns false.
+func (u *untouchedEndpoints) walk(crossZoneFactor float64,
+	visit func(ep *endpoint, preference float64) bool) {
 	own, other := u.ownZone, u.otherZones
 	for len(own)+len(other) > 0 {
 		next, preference := &own, 0.0
