Take lists for 2 s late where endpoints may be that old by their settings

Change: the delay of lists counts as 2 s, but no more than would double the share of its capacity that an endpoint is taken to have, if this machine's clock is ahead and a list comes at once.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -36,7 +36,7 @@
 	ConnectTimeout time.Duration // unit of the backoff between two such watches
 	DrainGrace     time.Duration // bounds it: requests to a draining endpoint are tolerated for so long
 	Seed           uint64        // of its jitter
-	SlowStart      time.Duration // after which an endpoint that has started is warm
+	SlowStart      SlowStart     // of endpoints that have started
 
 	WatchSilence time.Duration // how long a watch may bring nothing; 0: the default
 	CallTimeout  time.Duration // how long a poll may take, or a watch until its first byte; 0: the default
--- a/internal/discovery/starttimes.go
+++ b/internal/discovery/starttimes.go
@@ -7,9 +7,25 @@
 	"ashshunt/internal/endpoint"
 )
 
-// leastListDelay is how late lists tell of a start at the least, so that the endpoint is that old. Lists come seconds
-// late; where one comes earlier, the clocks have to be off as well for an endpoint to pass for too old, by this much.
-const leastListDelay = time.Second
+// usualListDelay is how late lists tell of a start, so that the endpoint is that old by then: they come seconds late.
+const usualListDelay = 2 * time.Second
+
+// SlowStart says how endpoints warm up.
+type SlowStart struct {
+	Duration     time.Duration // after which an endpoint is warm
+	ColdCapacity float64       // share of its capacity that it starts with
+}
+
+// listDelay is how much older than a list proves an endpoint is taken to be, if this machine's clock agrees. Where a list
+// comes sooner and that clock is ahead, the endpoint passes for too old by this much: that must not double the share of
+// its capacity that it is taken to have.
+func (s SlowStart) listDelay() time.Duration {
+	if s.ColdCapacity <= 0 || s.ColdCapacity >= 1 {
+		return usualListDelay
+	}
+	doubled := s.ColdCapacity / (1 - s.ColdCapacity) * float64(s.Duration)
+	return time.Duration(min(float64(usualListDelay), doubled))
+}
 
 // startTimes converts the start times of endpoints from Unix time to the agent's clock. A wall clock may be off by any
 // amount, this machine's or another one's, and an endpoint that passes for older than it is may get too much before it
@@ -18,7 +34,7 @@
 // concurrent use.
 type startTimes struct {
 	clock     clock.Clock
-	slowStart time.Duration         // after which an endpoint is warm
+	slowStart SlowStart
 	known     map[string]knownStart // by endpoint ID
 
 	newest       time.Duration // the latest start by Unix time that a list has told ...
@@ -31,7 +47,7 @@
 	at   time.Duration // on the agent's clock
 }
 
-func newStartTimes(agentClock clock.Clock, slowStart time.Duration) *startTimes {
+func newStartTimes(agentClock clock.Clock, slowStart SlowStart) *startTimes {
 	return &startTimes{clock: agentClock, slowStart: slowStart, known: map[string]knownStart{}}
 }
 
@@ -70,7 +86,7 @@
 func (s *startTimes) provesLittle(list endpoint.List, now time.Duration) bool {
 	unproven := 0
 	for _, entry := range list.Entries {
-		if entry.Started() > 0 && s.ageByList(entry.Started(), now) < s.slowStart {
+		if entry.Started() > 0 && s.ageByList(entry.Started(), now) < s.slowStart.Duration {
 			unproven++
 		}
 	}
@@ -90,7 +106,7 @@
 	}
 	age := time.Duration(time.Now().UnixNano()) - unix
 	if !wallClockAlone {
-		age = min(age, s.ageByList(unix, now)+leastListDelay)
+		age = min(age, s.ageByList(unix, now)+s.slowStart.listDelay())
 	}
 	return min(now, max(now-max(0, age), previous.at+1)) // a later start has a later time
 }
