Let clients that write slowly go on for 4.5 s

Change: the 2.8 s count from the last byte that came, with 4.5 s in all as before; from the connect for a first request whose first bytes are all that came.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -46,6 +46,10 @@
 	used          bool        // it has had a request
 	nextBegun     bool        // a byte of the next request was read while one was open
 	requestNumber int         // counts the requests that have begun
+	begunAt       time.Time   // when the current request began
+	continued     bool        // something of it came after its first bytes ...
+	lastByteAt    time.Time   // ... the last time then
+	firstRead     bool        // its first bytes were read
 	refuseTimer   *time.Timer // refuses the current request; nil before the first one
 }
 
@@ -84,8 +88,8 @@
 	}
 }
 
-// beginRequest notes the first byte of a request, which is refused if it does not become complete in time. The caller
-// holds listener.mu.
+// beginRequest notes the first byte of a request. It is refused once it has stopped coming for too long, or takes too
+// long in all. The caller holds listener.mu.
 func (c *connection) beginRequest() {
 	allowed := c.listener.timeouts.ReadRequest
 	if !c.used { // who connects has so long in all
@@ -98,7 +102,8 @@
 	c.listener.incomplete[c] = struct{}{}
 	c.requestNumber++
 	number := c.requestNumber
-	c.refuseTimer = time.AfterFunc(allowed, func() { c.refuse(number, http.StatusRequestTimeout) })
+	c.begunAt, c.firstRead, c.continued = time.Now(), false, false
+	c.refuseTimer = time.AfterFunc(allowed, func() { c.refuseIfStopped(number) })
 	_ = c.Conn.SetReadDeadline(time.Time{}) // that of the idle time; fails on a connection that has ended
 }
 
@@ -128,6 +133,25 @@
 	}
 }
 
+// refuseIfStopped refuses the request of a number unless some of it has come meanwhile: a client may be slow.
+func (c *connection) refuseIfStopped(number int) {
+	timeouts := c.listener.timeouts
+	c.listener.mu.Lock()
+	end := c.lastByteAt.Add(timeouts.ReadRequest)
+	if last := c.begunAt.Add(timeouts.ReadSlowRequest); last.Before(end) {
+		end = last
+	}
+	remaining := time.Until(end)
+	goesOn := c.continued && remaining > 0 && c.phase == phaseReading && c.requestNumber == number
+	if goesOn {
+		c.refuseTimer = time.AfterFunc(remaining, func() { c.refuseIfStopped(number) })
+	}
+	c.listener.mu.Unlock()
+	if !goesOn {
+		c.refuse(number, http.StatusRequestTimeout)
+	}
+}
+
 // refuse answers the request of a number that is not complete yet, and ends the sending. net/http, which may be reading
 // it, sees its end.
 func (c *connection) refuse(number, status int) {
@@ -186,6 +210,10 @@
 		return 0, net.ErrClosed // what was read belongs to a request that is answered
 	case c.phase == phaseServing && n > 0:
 		c.nextBegun = true // read by net/http as it looked for a disconnect
+	case c.phase == phaseReading && n > 0:
+		c.continued = c.firstRead
+		c.firstRead = true
+		c.lastByteAt = time.Now()
 	}
 	return n, err
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -19,8 +19,10 @@
 type Timeouts struct {
 	// FirstByte is how long a new connection may be silent.
 	FirstByte time.Duration
-	// ReadRequest is how long a request may take to come, from its first byte, or from the connect for the first one.
+	// ReadRequest is how long a request may stop coming, from its first byte, or from the connect for the first one.
 	ReadRequest time.Duration
+	// ReadSlowRequest is how long a request may take that keeps coming.
+	ReadSlowRequest time.Duration
 	// Idle ends a connection that has had no request for so long. Clients hold a third of the descriptors at most:
 	// those that stay after one request would keep the others out.
 	Idle time.Duration
@@ -40,13 +42,14 @@
 func DefaultTimeouts() Timeouts {
 	const reclaimIdle = 2 * time.Second
 	return Timeouts{
-		FirstByte:     2500 * time.Millisecond,
-		ReadRequest:   2800 * time.Millisecond,
-		Idle:          reclaimIdle + 100*time.Millisecond,
-		ReclaimIdle:   reclaimIdle,
-		ReclaimUnused: 250 * time.Millisecond,
-		Linger:        100 * time.Millisecond,
-		EndpointList:  5 * time.Second,
+		FirstByte:       2500 * time.Millisecond,
+		ReadRequest:     2800 * time.Millisecond,
+		ReadSlowRequest: 4500 * time.Millisecond,
+		Idle:            reclaimIdle + 100*time.Millisecond,
+		ReclaimIdle:     reclaimIdle,
+		ReclaimUnused:   250 * time.Millisecond,
+		Linger:          100 * time.Millisecond,
+		EndpointList:    5 * time.Second,
 	}
 }
 
