--- a/balancer/candidates.go
+++ b/balancer/candidates.go
@@ -51,8 +51,7 @@
 			return false // nor is any that follows in the subset
 		}
 		if b.mayAttempt(r, ep) {
-			c := candidate{ep, newcomerLoad, 1, ep.preference / preference, preference}
-			b.addCandidate(c, subset, subsetSize)
+			b.addCandidate(b.newCandidate(ep, newcomerLoad, 1, crossZoneFactor), subset, subsetSize)
 		}
 		return true
 	})
--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -72,15 +72,18 @@
 	for _, entry := range entries {
 		listed[entry.ID] = true
 	}
-	for _, ep := range slices.Clone(b.endpoints) {
-		if !listed[ep.ID] {
-			b.touch(ep)
-			ep.State = Removed
-			if ep.isGone() {
-				b.forget(ep)
-			}
+	for _, ep := range b.endpoints {
+		if listed[ep.ID] {
+			continue
+		}
+		b.touch(ep)
+		ep.State = Removed
+		if ep.isGone() {
+			delete(b.endpointByID, ep.ID)
 		}
 	}
+	b.endpoints = slices.DeleteFunc(b.endpoints, (*endpoint).isGone)
+	b.touched = slices.DeleteFunc(b.touched, (*endpoint).isGone)
 }
 
 func (b *Balancer) applyEntry(entry Endpoint) {
--- a/balancer/untouched.go
+++ b/balancer/untouched.go
@@ -61,17 +61,15 @@
 
 // relist takes over what the list now says of an endpoint.
 func (b *Balancer) relist(ep *endpoint, entry Endpoint) {
-	if ep.touched {
-		ep.Endpoint = entry
-		return
-	}
-	if entry.Zone != ep.Zone || entry.Weight != ep.Weight { // it has another place in the order
+	// Another size or zone is another place in the order.
+	moves := !ep.touched && (entry.Zone != ep.Zone || entry.Weight != ep.Weight)
+	if moves {
 		b.orderOf(ep).remove(ep)
-		ep.Endpoint = entry
-		b.addUntouched(ep)
-		return
 	}
 	ep.Endpoint = entry
+	if moves {
+		b.addUntouched(ep)
+	}
 }
 
 func (u *untouchedEndpoints) count() int { return len(u.ownZone) + len(u.otherZones) }
--- a/check.sh
+++ b/check.sh
@@ -48,6 +48,7 @@
 	*) echo "deploy/balancer.toml: policy does not name $file" >&2; exit 1 ;;
 	esac
 done
+
 # The adapter replies to an empty batch; the agent refuses a bad configuration, starts, and shuts down on SIGTERM.
 key() { sed -n "s/^$1 = \"\(.*\)\"\$/\1/p" deploy/balancer.toml; }
 reply=$(printf '{"msg":"Frame","ClockMs":1}\n{"msg":"End"}\n' | sh -c "$(key sim)")
--- a/cmd/ashshunt/soak_servers_test.go
+++ b/cmd/ashshunt/soak_servers_test.go
@@ -156,6 +156,7 @@
 	changes chan soakList
 	silent  bool          // protected by soakDiscovery.mu
 	reset   chan struct{} // closed to end it
+	once    sync.Once     // closes reset
 }
 
 func newSoakDiscovery(s *soak) *soakDiscovery {
@@ -182,10 +183,7 @@
 	}
 }
 
-func (w *soakWatch) end() {
-	defer func() { _ = recover() }() // it was ended before
-	close(w.reset)
-}
+func (w *soakWatch) end() { w.once.Do(func() { close(w.reset) }) }
 
 // breakWatches ends all watches, or has them fall silent.
 func (d *soakDiscovery) breakWatches(silent bool) {
@@ -195,7 +193,7 @@
 		if silent {
 			w.silent = true
 		} else {
-			go w.end()
+			w.end()
 		}
 	}
 }
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -47,9 +47,8 @@
 	nextBegun     bool        // a byte of the next request was read while one was open
 	requestNumber int         // counts the requests that have begun
 	begunAt       time.Time   // when the current request began
-	continued     bool        // something of it came after its first bytes ...
-	lastByteAt    time.Time   // ... the last time then
-	firstRead     bool        // its first bytes were read
+	reads         int         // of its bytes so far ...
+	lastByteAt    time.Time   // ... and when the last of them was
 	refuseTimer   *time.Timer // refuses the current request; nil before the first one
 }
 
@@ -102,7 +101,7 @@
 	c.listener.incomplete[c] = struct{}{}
 	c.requestNumber++
 	number := c.requestNumber
-	c.begunAt, c.firstRead, c.continued = time.Now(), false, false
+	c.begunAt, c.reads = time.Now(), 0
 	c.refuseTimer = time.AfterFunc(allowed, func() { c.refuseIfStopped(number) })
 	_ = c.Conn.SetReadDeadline(time.Time{}) // that of the idle time; fails on a connection that has ended
 }
@@ -142,7 +141,7 @@
 		end = last
 	}
 	remaining := time.Until(end)
-	goesOn := c.continued && remaining > 0 && c.phase == phaseReading && c.requestNumber == number
+	goesOn := c.reads > 1 && remaining > 0 && c.phase == phaseReading && c.requestNumber == number
 	if goesOn {
 		c.refuseTimer = time.AfterFunc(remaining, func() { c.refuseIfStopped(number) })
 	}
@@ -211,8 +210,7 @@
 	case c.phase == phaseServing && n > 0:
 		c.nextBegun = true // read by net/http as it looked for a disconnect
 	case c.phase == phaseReading && n > 0:
-		c.continued = c.firstRead
-		c.firstRead = true
+		c.reads++
 		c.lastByteAt = time.Now()
 	}
 	return n, err
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,4 +1,5 @@
-// Package socket examines the receive side of TCP sockets without reading from them.
+// Package socket has what the agent needs of TCP sockets beyond net: dials and connections that withstand failures of a
+// moment, and looks at the receive side that read nothing.
 package socket
 
 import (
