Add a failing test of the incident: second responses read as the next request's

The timeline and the hypotheses are in docs/incidents/.

testutil.FaultProxy stands between the agent and its endpoints: latency, and any sequence of bytes, pauses and ends in place of a response. TestUnrequestedResponses lets a second response follow a tenth of the responses, up to 60 ms later, half of them a rejection. It fails, and KNOWN-RED.txt lists it. TestUnrequestedResponseRates, by hand, counts violations.

The fake endpoint of the soak no longer reads while it waits for the agent's close: it lost the next request's first byte when a connection was used too early, and closed the connection.

--- a/cmd/ashshunt/soak_endpoint_test.go
+++ b/cmd/ashshunt/soak_endpoint_test.go
@@ -1,15 +1,14 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"time"
 
+	"ashshunt/internal/socket"
 	"ashshunt/internal/testutil"
 )
 
@@ -100,7 +99,7 @@
 
 // drawServiceTime draws the time from a request to its response.
 func (e *soakEndpoint) drawServiceTime(fault endpointFault) time.Duration {
-	usual := e.soak.rng.drawDuration(2*time.Millisecond, 20*time.Millisecond)
+	usual := e.soak.rng.drawDuration(e.soak.minServiceTime, e.soak.maxServiceTime)
 	switch fault {
 	case faultHang:
 		return time.Hour
@@ -139,10 +138,17 @@
 	_ = tcp.SetLinger(0) // fails if the connection has ended
 }
 
-// waitForClose waits until the peer closes the connection, at most for the given time, and reports whether it does.
+// waitForClose waits until the peer closes the connection, at most for the given time, and reports whether it does. It
+// reads nothing: a request that the peer sends meanwhile is read after the response, as real endpoints do.
 func waitForClose(conn net.Conn, wait time.Duration) bool {
-	_ = conn.SetReadDeadline(time.Now().Add(wait)) // fails if the connection has ended, and so does the read
-	_, err := conn.Read(make([]byte, 1))
-	_ = conn.SetReadDeadline(time.Time{})
-	return !errors.Is(err, os.ErrDeadlineExceeded)
+	for end := time.Now().Add(wait); time.Now().Before(end); {
+		if socket.Peer(conn).Closed {
+			return true
+		}
+		time.Sleep(min(closePollInterval, time.Until(end)))
+	}
+	return false
 }
+
+// closePollInterval is the time between two looks for the peer's close.
+const closePollInterval = 2 * time.Millisecond
--- a/cmd/ashshunt/soak_test.go
+++ b/cmd/ashshunt/soak_test.go
@@ -82,9 +82,12 @@
 	file        configFile
 	verifier    *soakVerifier
 	discovery   *soakDiscovery
+	network     soakNetwork
 	endpoints   []*soakEndpoint // used only by the goroutine of runFaults after its start
 	stopped     chan struct{}   // closed at the end of the run
 
+	minServiceTime, maxServiceTime time.Duration // service time of an endpoint without faults
+
 	mu         sync.Mutex // protects the fields below
 	mayConnect bool       // clients may open connections
 }
@@ -103,6 +106,9 @@
 		idleClients: seed%3 == 0,
 		file:        newConfigFile(t),
 		stopped:     make(chan struct{}),
+
+		minServiceTime: 2 * time.Millisecond,
+		maxServiceTime: 20 * time.Millisecond,
 		classes: []soakClass{
 			{name: "look", idempotency: semanticsIdempotent, deadline: longest},
 			{name: "hold", idempotency: semanticsIdempotentWithKey, dedupScope: scopes[seed%3],
@@ -112,11 +118,15 @@
 	}
 	s.verifier = newSoakVerifier(t, s.classes, os.Getenv(soakStrictEnvVar) != "")
 	s.discovery = newSoakDiscovery(s)
+	s.listen = freeAddr(t, seed)
+	return s
+}
+
+// addEndpoints starts the endpoints that a run starts with.
+func (s *soak) addEndpoints() {
 	for i := range soakEndpoints {
 		s.addEndpoint(fmt.Sprint("s", i), 0)
 	}
-	s.listen = freeAddr(t, seed)
-	return s
 }
 
 // freeAddr returns an address for the processes of the agent to listen on. Its host depends on the seed, so that runs
@@ -172,6 +182,7 @@
 
 // run runs the processes of the agent sequentially and then verifies all requests.
 func (s *soak) run() {
+	s.addEndpoints()
 	var workers sync.WaitGroup
 	for range soakClients {
 		workers.Go(func() { newSoakClient(s).run() })
@@ -320,7 +331,7 @@
 	s.endpoints = append(s.endpoints, e)
 	s.discovery.publish(soakEntry{
 		ID:        id,
-		Addr:      e.server.Addr(),
+		Addr:      s.network.connect(s.t, e.server.Addr()),
 		Zone:      "a",
 		Kind:      "m",
 		Cell:      e.cell,
--- a/cmd/ashshunt/soak_verifier_test.go
+++ b/cmd/ashshunt/soak_verifier_test.go
@@ -208,3 +208,10 @@
 	defer v.mu.Unlock()
 	a.finishedAt = time.Now()
 }
+
+// requestCount returns the number of requests that were sent.
+func (v *soakVerifier) requestCount() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.requests)
+}
--- a/cmd/ashshunt/soak_verify_test.go
+++ b/cmd/ashshunt/soak_verify_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"regexp"
 	"slices"
 	"time"
 )
@@ -21,6 +22,31 @@
 func (v *soakVerifier) verify() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.verifyRequestsLocked()
+	for _, text := range v.violations {
+		v.t.Error(text)
+	}
+}
+
+// logViolations verifies all recorded requests and logs the number of violations of each kind.
+func (v *soakVerifier) logViolations() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.verifyRequestsLocked()
+	counts := map[string]int{}
+	for _, text := range v.violations {
+		counts[requestIDPattern.ReplaceAllString(text, "ID")]++
+	}
+	for text, count := range counts {
+		v.t.Logf("%d times: %s", count, text)
+	}
+}
+
+// requestIDPattern matches the ID of a request, and numbers, in the text of a violation.
+var requestIDPattern = regexp.MustCompile(`[0-9a-f]{16}|stray|[0-9][0-9.]*(ms|s|µs)`)
+
+// verifyRequestsLocked records the violations of all requests. The caller holds the mutex.
+func (v *soakVerifier) verifyRequestsLocked() {
 	statuses := map[int]int{}
 	for _, r := range v.requests {
 		statuses[r.status]++
@@ -31,9 +57,6 @@
 	if len(v.requests) == 0 || statuses[http.StatusOK] == 0 {
 		v.t.Error("got no served requests, want some")
 	}
-	for _, text := range v.violations {
-		v.t.Error(text)
-	}
 }
 
 // verifyResponse verifies that a request got its response. The agent may close a reused connection while the next
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -21,7 +21,7 @@
 // pages are all pages, by their paths from this folder.
 var pages = []string{
 	"../README.md", "../NOTES.md", "ARCHITECTURE.md", "CAPACITY.md", "GLOSSARY.md", "OPERATIONS.md", "QUESTIONS.md",
-	"terms-audit.md",
+	"terms-audit.md", "incidents/2026-12-04-unrequested-responses.md",
 }
 
 // logLevels gives the level of each logging method.
