Log each attempt, close and unserved answer at DEBUG, and unrequested bytes at WARN

GW_LOG_LEVEL=DEBUG now gives for each attempt request, number, endpoint, connection, its use and rest, first byte, result and whether the connection may be used again; the reason of each close; and each answer without a response. Bytes on an idle connection are a warning with endpoint, count and rest, within the rate limit; the totals stand in the line at shutdown. No decision changes. Lines at DEBUG are not rate limited.

--- a/balancer/events.go
+++ b/balancer/events.go
@@ -95,6 +95,27 @@
 	LocalFailure                // no connection, possibly because of a fault of this machine; never ran
 )
 
+// resultNames are the names of the results, as they appear in logs.
+var resultNames = [...]string{
+	Served:        "served",
+	ServerError:   "server error",
+	Rejected:      "rejected",
+	TimedOut:      "timed out",
+	ConnectFailed: "connect failed",
+	Reset:         "reset",
+	Cancelled:     "cancelled",
+	NotSent:       "not sent",
+	LocalFailure:  "local failure",
+}
+
+// String implements fmt.Stringer.
+func (r Result) String() string {
+	if int(r) < len(resultNames) {
+		return resultNames[r]
+	}
+	return "unknown result"
+}
+
 // NeverRan reports whether an attempt with this result had no effect. It assumes that
 // Settings.RejectedMayHaveRun is false; see [Settings.MayHaveRun].
 func (r Result) NeverRan() bool {
--- a/cmd/ashshunt/main.go
+++ b/cmd/ashshunt/main.go
@@ -20,8 +20,13 @@
 	"ashshunt/internal/telemetry"
 )
 
-// configEnvVar is the environment variable that names the configuration file.
-const configEnvVar = "GW_CONFIG"
+const (
+	// configEnvVar is the environment variable that names the configuration file.
+	configEnvVar = "GW_CONFIG"
+	// logLevelEnvVar is the environment variable with the minimum level of log lines: DEBUG, INFO (the default), WARN
+	// or ERROR.
+	logLevelEnvVar = "GW_LOG_LEVEL"
+)
 
 // exitFailure is the exit status of an agent that failed to start or to serve.
 const exitFailure = 1
@@ -71,7 +76,10 @@
 	if path == "" {
 		return errors.New(configEnvVar + " is not set to the path of a configuration file")
 	}
-	log := newLogger(logWriter)
+	log, err := newLogger(logWriter)
+	if err != nil {
+		return err
+	}
 	c, err := loadConfig(path, log)
 	if err != nil {
 		return fmt.Errorf("load configuration: %w", err)
@@ -107,8 +115,15 @@
 	}
 }
 
-func newLogger(w io.Writer) *slog.Logger {
-	return slog.New(telemetry.RateLimited(slog.NewTextHandler(w, nil)))
+// newLogger returns a logger with the level of logLevelEnvVar.
+func newLogger(w io.Writer) (*slog.Logger, error) {
+	level := slog.LevelInfo
+	if text := os.Getenv(logLevelEnvVar); text != "" {
+		if err := level.UnmarshalText([]byte(text)); err != nil {
+			return nil, fmt.Errorf("%s: invalid value %q, want DEBUG, INFO, WARN or ERROR", logLevelEnvVar, text)
+		}
+	}
+	return slog.New(telemetry.RateLimited(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level}))), nil
 }
 
 // loadConfig reads the configuration. For up to configRetryTimeout it retries a file that can't be read or is
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -107,11 +107,21 @@
 	a.waitForDisconnects(ctx, shutdownTimeout(a.loop.settings)-a.acceptDuration)
 	a.frontend.RejectIncomplete()
 	a.waitForDisconnects(ctx, finalWriteTimeout)
-	a.log.Info(telemetry.MsgStopped)
+	a.logStopped()
 	_ = a.frontend.Close() // all requests are answered, so that an error can be ignored
 	return nil
 }
 
+// logStopped logs the end of a graceful shutdown with the totals of the connections to endpoints.
+func (a *Agent) logStopped() {
+	totals := a.loop.upstream.Totals()
+	a.log.Info(telemetry.MsgStopped,
+		"dials", totals.Dials,
+		"exchanges", totals.Exchanges,
+		"reuses", totals.Reuses,
+		"unrequested_bytes", totals.UnrequestedBytes)
+}
+
 // waitForDisconnects blocks until no client connection is open, or until the timeout.
 func (a *Agent) waitForDisconnects(ctx context.Context, timeout time.Duration) {
 	waitCtx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -31,7 +31,8 @@
 		l.handleOutcome(r, outcome, nil)
 		return
 	}
-	go l.runAttempt(attemptCtx, r, outcome, now, l.attemptBounds(deadline, action.NotAfter)) // returns by the deadline
+	options := l.attemptOptions(outcome.Attempt, deadline, action.NotAfter)
+	go l.runAttempt(attemptCtx, r, outcome, now, options) // returns by the deadline
 }
 
 // maxAttempts returns the maximum number of attempts of a request. It is at least 1.
@@ -51,20 +52,20 @@
 	return deadline
 }
 
-// attemptBounds converts times on the agent's clock to the bounds of an attempt. A notAfter of 0 means no limit.
-func (l *eventLoop) attemptBounds(deadline, notAfter time.Duration) upstream.Bounds {
-	bounds := upstream.Bounds{Deadline: l.clock.ToTime(deadline)}
+// attemptOptions returns the options of an attempt for times on the agent's clock. A notAfter of 0 means no limit.
+func (l *eventLoop) attemptOptions(number int, deadline, notAfter time.Duration) upstream.AttemptOptions {
+	options := upstream.AttemptOptions{Number: number, Deadline: l.clock.ToTime(deadline)}
 	if notAfter > 0 {
-		bounds.NotAfter = l.clock.ToTime(notAfter)
+		options.NotAfter = l.clock.ToTime(notAfter)
 	}
-	return bounds
+	return options
 }
 
 // runAttempt executes an attempt and posts its outcome. startedAt is the start of the attempt on the agent's clock.
 // runAttempt runs on its own goroutine and reads only the immutable fields of the request.
 func (l *eventLoop) runAttempt(ctx context.Context, r *trackedRequest, outcome balancer.Outcome,
-	startedAt time.Duration, bounds upstream.Bounds) {
-	result, response := l.upstream.Attempt(ctx, r.upstream, outcome.Endpoint, bounds)
+	startedAt time.Duration, options upstream.AttemptOptions) {
+	result, response := l.upstream.Attempt(ctx, r.upstream, outcome.Endpoint, options)
 	outcome.Result = result
 	outcome.Latency = l.clock.FromTime(response.EndedAt) - startedAt
 	outcome.LoadReport = response.LoadReport()
--- a/internal/agent/deadlineguard.go
+++ b/internal/agent/deadlineguard.go
@@ -83,7 +83,7 @@
 	expected := l.isShuttingDown() || r.inbound.Event.Timeout <= attemptMargin
 	if !expected {
 		l.log.Error(telemetry.MsgNoFinalAnswer, telemetry.Request(r.id()),
-			"attempts", r.attemptCount(), "in_flight", r.inFlight)
+			telemetry.Attempts(r.attemptCount()), "in_flight", r.inFlight)
 	}
 	status := http.StatusBadGateway
 	if expected && r.attemptCount() == 0 {
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"context"
+	"log/slog"
 	"net/http"
 
 	"ashshunt/balancer"
@@ -45,6 +47,10 @@
 
 // answer sends the only response of a request and finishes the request.
 func (l *eventLoop) answer(r *trackedRequest, response frontend.Response) {
+	if response.Status != http.StatusOK && l.log.Enabled(context.Background(), slog.LevelDebug) {
+		l.log.Debug(telemetry.MsgRequestAnswered, telemetry.Request(r.id()), "status", response.Status,
+			telemetry.Attempts(r.attemptCount()), "may_have_run", r.mayHaveRun())
+	}
 	l.removeDeadlineGuard(r)
 	l.requests.answer(r, response)
 }
--- a/internal/telemetry/ratelimit.go
+++ b/internal/telemetry/ratelimit.go
@@ -13,7 +13,7 @@
 
 // RateLimited returns a handler that passes at most maxLinesPerSecond lines per second to h and drops the rest. The
 // next line that passes has the attribute KeyDropped with the number of dropped lines. Lines that a Writer drops later
-// are not counted.
+// are not counted. Lines at level DEBUG are not limited: they are written only if an operator has asked for them.
 func RateLimited(h slog.Handler) slog.Handler {
 	return rateLimited{Handler: h, limiter: &lineLimiter{now: time.Now}}
 }
@@ -26,6 +26,9 @@
 
 // Handle implements slog.Handler.
 func (h rateLimited) Handle(ctx context.Context, record slog.Record) error {
+	if record.Level < slog.LevelInfo {
+		return h.Handler.Handle(ctx, record)
+	}
 	allowed, dropped := h.limiter.allow()
 	if !allowed {
 		return nil
--- a/internal/telemetry/ratelimit_test.go
+++ b/internal/telemetry/ratelimit_test.go
@@ -25,6 +25,10 @@
 	if n := strings.Count(logged.String(), "malformed response"); n != maxLinesPerSecond {
 		t.Errorf("got %d lines in one second, want %d", n, maxLinesPerSecond)
 	}
+	slog.New(RateLimited(slog.NewTextHandler(logged, &slog.HandlerOptions{Level: slog.LevelDebug}))).Debug("asked for")
+	if !logged.Contains("asked for") {
+		t.Error("a line at level DEBUG was dropped, want no limit for it")
+	}
 	now = now.Add(time.Second)
 	log.Warn("later")
 	if !logged.Contains("msg=later agent=n0 dropped_before=80") {
--- a/internal/testutil/log.go
+++ b/internal/testutil/log.go
@@ -16,6 +16,11 @@
 // NewLogger returns a logger that writes to log.
 func NewLogger(log *Log) *slog.Logger { return slog.New(slog.NewTextHandler(log, nil)) }
 
+// NewDebugLogger returns a logger that writes to log, lines at level DEBUG included.
+func NewDebugLogger(log *Log) *slog.Logger {
+	return slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+}
+
 // Write implements io.Writer.
 func (l *Log) Write(p []byte) (int, error) {
 	l.mu.Lock()
--- a/internal/testutil/server.go
+++ b/internal/testutil/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 )
 
@@ -18,6 +19,9 @@
 	handle   handlerFunc
 	Received chan *http.Request // receives each complete request; RemoteAddr identifies its connection
 	Closed   chan struct{}      // receives a value when a connection ends before its next request head is read
+
+	mu    sync.Mutex
+	conns map[string]net.Conn // by remote address; protected by mu
 }
 
 // NewServer starts a server that answers requests with handle. It accepts connections until it is closed, at the latest
@@ -29,6 +33,7 @@
 		handle:   handle,
 		Received: make(chan *http.Request, eventBuffer),
 		Closed:   make(chan struct{}, eventBuffer),
+		conns:    map[string]net.Conn{},
 	}
 	go s.acceptAll()
 	return s
@@ -41,10 +46,22 @@
 		if err != nil {
 			return
 		}
+		s.mu.Lock()
+		s.conns[conn.RemoteAddr().String()] = conn
+		s.mu.Unlock()
 		go s.serve(conn)
 	}
 }
 
+// WriteTo writes text on the connection of a client, whether it has sent a request or not.
+func (s *Server) WriteTo(t *testing.T, remoteAddr, text string) {
+	t.Helper()
+	s.mu.Lock()
+	conn := s.conns[remoteAddr]
+	s.mu.Unlock()
+	Write(t, conn, text)
+}
+
 // serve answers the requests of one connection.
 func (s *Server) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -10,67 +10,73 @@
 	"ashshunt/internal/endpoint"
 	"ashshunt/internal/protocol"
 	"ashshunt/internal/socket"
-	"ashshunt/internal/telemetry"
 )
 
 // This file implements an attempt: get a connection, verify that the request may still be sent, exchange request and
 // response, classify the outcome, and close other idle connections to the endpoint that are probably dead as well.
 
 const (
-	// startMargin is the minimum time between the start of an attempt and Bounds.NotAfter. The process may stall for
-	// 150 ms between reading the clock and writing the request, of which endpoints tolerate 50 ms.
+	// startMargin is the minimum time between the start of an attempt and AttemptOptions.NotAfter. The process may stall
+	// for 150 ms between reading the clock and writing the request, of which endpoints tolerate 50 ms.
 	startMargin = 100 * time.Millisecond
 	// minIdleBeforeFailure is the minimum idle time of a connection for its failure at the next request to be
 	// attributed to the idle time.
 	minIdleBeforeFailure = 100 * time.Millisecond
 )
 
-// Bounds limits when an attempt may start and when it must finish.
-type Bounds struct {
+// AttemptOptions are the parameters of one attempt.
+type AttemptOptions struct {
+	Number   int       // number of the attempt within its request, for the log
 	Deadline time.Time // time by which the attempt must have finished
 	NotAfter time.Time // latest start of the attempt; zero means no limit
 }
 
 // allowsStart reports whether an attempt may start now.
-func (b Bounds) allowsStart() bool {
+func (o AttemptOptions) allowsStart() bool {
 	now := time.Now()
-	return now.Before(b.Deadline) && (b.NotAfter.IsZero() || now.Add(startMargin).Before(b.NotAfter))
+	return now.Before(o.Deadline) && (o.NotAfter.IsZero() || now.Add(startMargin).Before(o.NotAfter))
 }
 
 // Attempt sends a request to an endpoint once and returns the result and the response, if any. Cancelling ctx aborts
 // the dial and the exchange. Cancelling request.Lifetime aborts only the dial, since the outcome of an exchange that
 // has started must be known.
 func (c *Client) Attempt(ctx context.Context, request *Request, endpointID string,
-	bounds Bounds) (balancer.Result, Response) {
+	options AttemptOptions) (balancer.Result, Response) {
 	dialCtx, cancelDial := context.WithCancel(ctx)
 	defer cancelDial()
 	stopAfterFunc := context.AfterFunc(request.Lifetime, cancelDial)
 	defer stopAfterFunc()
-	conn, failure := c.connect(dialCtx, endpointID, bounds.Deadline)
+	label := exchangeLabel{requestID: request.ID, attempt: options.Number, endpointID: endpointID}
+	conn, failure := c.connect(dialCtx, endpointID, options.Deadline)
 	if failure != nil {
+		c.logUnsent(label, failure.result, failure)
 		return failure.result, unsentResponse(failure)
 	}
 	// The request may have finished during the dial. Nothing blocks between this check and the write of the request.
-	if request.isFinished() || ctx.Err() != nil || !bounds.allowsStart() {
+	if request.isFinished() || ctx.Err() != nil || !options.allowsStart() {
 		c.pool.release(conn)
+		c.logUnsent(label, balancer.NotSent, nil)
 		return balancer.NotSent, unsentResponse(nil)
 	}
-	return c.sendOn(ctx, conn, newForwardedRequest(request, bounds.Deadline), bounds.Deadline)
+	return c.sendOn(ctx, conn, label, newForwardedRequest(request, options.Deadline), options.Deadline)
 }
 
 // HealthCheck sends a health check to an endpoint. If load reports are enabled, it requests protocol.LoadReportPath
 // instead of protocol.HealthPath.
 func (c *Client) HealthCheck(ctx context.Context, endpointID string) (balancer.Result, Response) {
 	deadline := time.Now().Add(c.healthCheckTimeout)
+	label := exchangeLabel{endpointID: endpointID}
 	conn, failure := c.connect(ctx, endpointID, deadline)
 	if failure != nil {
+		c.logUnsent(label, failure.result, failure)
 		return failure.result, unsentResponse(failure)
 	}
 	path := protocol.HealthPath
 	if c.loadReports != balancer.LoadReportsNone {
 		path = protocol.LoadReportPath
 	}
-	result, response := c.sendOn(ctx, conn, newHealthCheckRequest(path, conn.netConn.RemoteAddr().String()), deadline)
+	request := newHealthCheckRequest(path, conn.netConn.RemoteAddr().String())
+	result, response := c.sendOn(ctx, conn, label, request, deadline)
 	if path == protocol.LoadReportPath {
 		response.copyLoadReportToHeader()
 	}
@@ -99,7 +105,7 @@
 		if c.isCurrent(conn) {
 			return conn, nil
 		}
-		c.pool.close(conn)
+		c.pool.close(conn, closeObsolete)
 	}
 }
 
@@ -123,7 +129,7 @@
 	if result == balancer.ConnectFailed && socket.IsTimeout(err) {
 		// The machine does not respond, so idle connections to it are presumed dead too. A dial that was cut short by
 		// the request's deadline looks the same; closing connections then only costs handshakes.
-		c.pool.closeIdle(entry.ID)
+		c.pool.closeIdle(entry.ID, closePresumedDead)
 	}
 	return nil, &connectError{entry.ID, result, err}
 }
@@ -141,22 +147,25 @@
 
 // sendOn sends a request on a connection and reads the response. It returns the connection to the pool or closes it,
 // and returns the result of the exchange and the response.
-func (c *Client) sendOn(ctx context.Context, conn *connection, request *http.Request,
+func (c *Client) sendOn(ctx context.Context, conn *connection, label exchangeLabel, request *http.Request,
 	deadline time.Time) (balancer.Result, Response) {
 	encoded, err := encodeRequest(request)
 	if err != nil { // no byte was sent, so the request can't have run
 		c.pool.release(conn)
+		c.logUnsent(label, balancer.NotSent, err)
 		return balancer.NotSent, unsentResponse(err)
 	}
+	c.pool.countExchange(conn)
 	// After its release another goroutine may use the connection, so the state that is needed later is copied here.
-	snapshot := connectionSnapshot{conn.endpointID(), conn.idleSince, conn.idleDuration()}
+	snapshot := newConnectionSnapshot(conn)
 	outcome := exchange(ctx, conn.netConn, encoded, deadline, c.stallTimeout)
+	result := classify(outcome, ctx.Err() != nil)
+	c.logExchange(label, snapshot, result, outcome)
 	if outcome.reusable {
 		c.pool.release(conn)
 	} else {
-		c.pool.close(conn)
+		c.pool.close(conn, closeUnusable)
 	}
-	result := classify(outcome, ctx.Err() != nil)
 	c.closeDeadConnections(snapshot, result)
 	c.logUnexpectedResponse(snapshot.endpointID, result, outcome.response)
 	return result, outcome.response
@@ -186,8 +195,22 @@
 // connectionSnapshot is the state of a connection right before an exchange.
 type connectionSnapshot struct {
 	endpointID   string
+	number       int64
+	exchange     int           // number of the exchange on the connection, from 1
 	idleSince    time.Time     // start of the idle time; zero for a new connection
 	idleDuration time.Duration // idle time until the exchange; 0 for a new connection
+	startedAt    time.Time     // start of the exchange
+}
+
+func newConnectionSnapshot(conn *connection) connectionSnapshot {
+	return connectionSnapshot{
+		endpointID:   conn.endpointID(),
+		number:       conn.number,
+		exchange:     conn.exchangeCount,
+		idleSince:    conn.idleSince,
+		idleDuration: conn.idleDuration(),
+		startedAt:    time.Now(),
+	}
 }
 
 // closeDeadConnections closes the idle connections to an endpoint that are presumed dead, given the result of an
@@ -198,23 +221,11 @@
 	case result == balancer.TimedOut:
 		// If the machine has vanished, a request on an idle connection is lost without an error. A dial fails within
 		// the connect timeout instead, which proves that the request did not run.
-		c.pool.closeIdle(snapshot.endpointID)
+		c.pool.closeIdle(snapshot.endpointID, closePresumedDead)
 	case (result == balancer.Reset || result == balancer.ConnectFailed) && snapshot.idleDuration > minIdleBeforeFailure:
 		// The cause, such as a middlebox or a restart of the machine, has also ended the connections that were idle for
 		// longer. The failure of a connection that was not idle implies nothing about the others, and closing those
 		// would cost the endpoint one handshake each.
-		c.pool.closeIdleSince(snapshot.endpointID, snapshot.idleSince)
-	}
-}
-
-// logUnexpectedResponse logs malformed responses, and responses with an unexpected status: any but 200, 500, and 503 or
-// 504 with the X-Rejected header.
-func (c *Client) logUnexpectedResponse(endpointID string, result balancer.Result, response Response) {
-	if errors.Is(response.Err, errMalformedResponse) {
-		c.log.Warn(telemetry.MsgMalformedResponse, telemetry.Endpoint(endpointID), telemetry.Err(response.Err))
-		return
-	}
-	if response.Err == nil && result == balancer.ServerError && response.Status != http.StatusInternalServerError {
-		c.log.Warn(telemetry.MsgUnexpectedStatus, telemetry.Endpoint(endpointID), "status", response.Status)
+		c.pool.closeIdleSince(snapshot.endpointID, snapshot.idleSince, closePresumedDead)
 	}
 }
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -78,7 +78,7 @@
 				tt.duringDial(client, request, end)
 				return nil
 			}
-			result, _ := client.Attempt(context.Background(), request, "s0", newBounds(testutil.Timeout))
+			result, _ := client.Attempt(context.Background(), request, "s0", newOptions(testutil.Timeout))
 			if result != tt.want {
 				t.Errorf("got result %d, want %d", result, tt.want)
 			}
@@ -171,7 +171,7 @@
 	}
 }
 
-// An attempt must not start after Bounds.NotAfter, even if the process stalls right before the request is sent.
+// An attempt must not start after AttemptOptions.NotAfter, even if the process stalls right before the request is sent.
 func TestAttemptNotStartedAfterBound(t *testing.T) {
 	for _, tt := range []struct {
 		name     string
@@ -189,9 +189,9 @@
 			server := testutil.NewServer(t, testutil.Echo)
 			client, request := newTestClient(t, server.Addr()), newUnsafeRequest()
 			request.IsClientGone = func() bool { time.Sleep(tt.stall); return false }
-			bounds := newBounds(testutil.Timeout)
-			bounds.NotAfter = time.Now().Add(tt.timeLeft)
-			if result, _ := client.Attempt(t.Context(), request, "s0", bounds); result != tt.want {
+			options := newOptions(testutil.Timeout)
+			options.NotAfter = time.Now().Add(tt.timeLeft)
+			if result, _ := client.Attempt(t.Context(), request, "s0", options); result != tt.want {
 				t.Errorf("got result %d, want %d", result, tt.want)
 			}
 			if served := tt.want == balancer.Served; len(server.Received) > 0 != served {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -56,7 +56,7 @@
 	if idleTimeout == 0 {
 		idleTimeout = defaultIdleTimeout
 	}
-	pool := newPool(idleTimeout, options.ConnectTimeout, options.MaxConnections)
+	pool := newPool(idleTimeout, options.ConnectTimeout, options.MaxConnections, options.Log)
 	pool.dialer.Control = options.DialControl
 	return &Client{
 		pool:               pool,
@@ -69,11 +69,14 @@
 }
 
 // CloseIdle closes the idle connections to an endpoint.
-func (c *Client) CloseIdle(endpointID string) { c.pool.closeIdle(endpointID) }
+func (c *Client) CloseIdle(endpointID string) { c.pool.closeIdle(endpointID, closeRequested) }
 
 // DrainConnections closes the connections to an endpoint that is draining, was removed, was restarted or has a new
 // address: idle connections at once, connections in use when their exchange finishes.
 func (c *Client) DrainConnections(endpointID string) { c.pool.drain(endpointID) }
 
+// Totals returns the totals since the start.
+func (c *Client) Totals() Totals { return c.pool.totals() }
+
 // OpenConnections returns the number of connections that are open or being dialed.
 func (c *Client) OpenConnections() int { return c.pool.openConnections() }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -9,10 +9,12 @@
 
 // connection is a connection to an endpoint. From takeIdle or dial until release or close, only one goroutine uses it.
 type connection struct {
-	netConn   net.Conn // closed only by the pool, which counts the open connections
-	group     *endpointGroup
-	entry     endpoint.Entry // table entry of the endpoint at the time of the dial
-	idleSince time.Time      // time of the last release, zero before the first one; written under pool.mu
+	netConn       net.Conn // closed only by the pool, which counts the open connections
+	number        int64    // number of its dial, which identifies it in the log
+	group         *endpointGroup
+	entry         endpoint.Entry // table entry of the endpoint at the time of the dial
+	exchangeCount int            // number of requests that were sent on it
+	idleSince     time.Time      // time of the last release, zero before the first one; written under pool.mu
 }
 
 func (c *connection) endpointID() string { return c.group.endpointID }
@@ -25,6 +27,22 @@
 	return time.Since(c.idleSince)
 }
 
+// closeReason says why the pool closes a connection.
+type closeReason string
+
+// The reasons for closing a connection.
+const (
+	closeUnusable         closeReason = "unusable after its last exchange"
+	closeEndedByEndpoint  closeReason = "closed by the endpoint"
+	closeUnrequestedBytes closeReason = "unrequested bytes"
+	closeNotExaminable    closeReason = "can't be examined"
+	closeIdleTimeout      closeReason = "idle timeout"
+	closeConnectionLimit  closeReason = "connection limit"
+	closeObsolete         closeReason = "endpoint drains, was removed, was restarted or has a new address"
+	closePresumedDead     closeReason = "presumed dead"
+	closeRequested        closeReason = "requested"
+)
+
 // endpointGroup holds the connections to one endpoint. pool.mu protects all fields but endpointID, which is constant.
 type endpointGroup struct {
 	endpointID string
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -19,8 +19,9 @@
 // exchangeOutcome is the outcome of an exchange, that is, of one request and its response on a connection.
 type exchangeOutcome struct {
 	response       Response
-	requestWritten bool // the request was written completely
-	reusable       bool // the connection may be used for another request
+	requestWritten bool      // the request was written completely
+	reusable       bool      // the connection may be used for another request
+	firstByteAt    time.Time // time of the first byte of the response; zero: there is none
 }
 
 // encodeRequest returns the bytes of a request as exchange writes them.
@@ -53,6 +54,7 @@
 	return exchangeOutcome{
 		response:       response,
 		requestWritten: true,
+		firstByteAt:    reader.firstByteAt,
 		// stopInterrupt returns false if ctx was cancelled. pastDeadline may then be set on the connection at any time.
 		reusable: keepAlive && !hasUnreadBytes && stopInterrupt(),
 	}
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -118,7 +118,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	results := make(chan balancer.Result, 1)
 	go func() {
-		result, _ := client.Attempt(ctx, newUnsafeRequest(), "s0", newBounds(testutil.Timeout))
+		result, _ := client.Attempt(ctx, newUnsafeRequest(), "s0", newOptions(testutil.Timeout))
 		results <- result
 	}()
 	testutil.Receive(t, server.Received)
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -52,12 +52,14 @@
 	}
 }
 
-// newBounds returns the bounds of an attempt with the given timeout.
-func newBounds(timeout time.Duration) Bounds { return Bounds{Deadline: time.Now().Add(timeout)} }
+// newOptions returns the options of an attempt with the given timeout.
+func newOptions(timeout time.Duration) AttemptOptions {
+	return AttemptOptions{Deadline: time.Now().Add(timeout)}
+}
 
 // attempt sends an unsafe request to the endpoint s0.
 func (c *Client) attempt(timeout time.Duration) (balancer.Result, Response) {
-	return c.Attempt(context.Background(), newUnsafeRequest(), "s0", newBounds(timeout))
+	return c.Attempt(context.Background(), newUnsafeRequest(), "s0", newOptions(timeout))
 }
 
 // startAttempt calls attempt on a new goroutine and sends the result to results.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ashshunt/internal/endpoint"
 	"ashshunt/internal/socket"
+	"ashshunt/internal/telemetry"
 )
 
 // pool manages the connections to endpoints. http.Transport is not used because it resends a request on its own if a
@@ -22,17 +25,30 @@
 	idleTimeout    time.Duration // a connection that is idle for longer is closed
 	maxConnections int           // maximum of openCount; 0 means no limit
 	dialer         socket.Dialer
+	log            *slog.Logger
 
 	mu             sync.Mutex                // protects the fields below and the groups
 	openCount      int                       // number of connections that are idle, in use or being dialed
 	groups         map[string]*endpointGroup // groups with openCount > 0 that are not draining, by endpoint ID
 	sweepScheduled bool                      // a timer for sweep is running
+
+	// These counts are safe for concurrent use.
+	dials, exchanges, reuses, unrequestedBytes atomic.Int64
+}
+
+// Totals counts what the connections to endpoints have carried since the start.
+type Totals struct {
+	Dials            int64 // connections that were established
+	Exchanges        int64 // requests that were sent, including health checks
+	Reuses           int64 // requests that were sent on a connection with an earlier request
+	UnrequestedBytes int64 // connections that were closed because of bytes that belong to no request
 }
 
-func newPool(idleTimeout, connectTimeout time.Duration, maxConnections int) *pool {
+func newPool(idleTimeout, connectTimeout time.Duration, maxConnections int, log *slog.Logger) *pool {
 	return &pool{
 		idleTimeout:    idleTimeout,
 		maxConnections: maxConnections,
+		log:            log,
 		dialer:         socket.Dialer{Dialer: net.Dialer{Timeout: connectTimeout, KeepAlive: -1}},
 		groups:         map[string]*endpointGroup{},
 	}
@@ -45,16 +61,31 @@
 	defer p.mu.Unlock()
 	for group := p.groups[endpointID]; group != nil && len(group.idle) > 0; {
 		conn := group.popNewest()
-		// In any state but Empty, the connection was closed, has received bytes after its last response, or can't be
-		// examined.
-		if socket.Peek(conn.netConn) == socket.Empty && time.Since(conn.idleSince) < p.idleTimeout {
+		reason := p.examineLocked(conn)
+		if reason == "" {
 			return conn
 		}
-		p.closeLocked(conn)
+		p.closeLocked(conn, reason)
 	}
 	return nil
 }
 
+// examineLocked returns the reason for which an idle connection must not be used, or "" if it may be used. The caller
+// holds p.mu.
+func (p *pool) examineLocked(conn *connection) closeReason {
+	switch state := socket.Peek(conn.netConn); {
+	case state == socket.Readable:
+		return closeUnrequestedBytes
+	case state == socket.Closed:
+		return closeEndedByEndpoint
+	case state == socket.Unknown:
+		return closeNotExaminable
+	case time.Since(conn.idleSince) >= p.idleTimeout:
+		return closeIdleTimeout
+	}
+	return ""
+}
+
 // dial opens a connection, subject to the connection limit, the connect timeout and the deadline.
 func (p *pool) dial(ctx context.Context, entry endpoint.Entry, deadline time.Time) (*connection, error) {
 	group, err := p.reserve(entry.ID)
@@ -68,7 +99,26 @@
 		p.unreserve(group)
 		return nil, err
 	}
-	return &connection{netConn: conn, group: group, entry: entry}, nil
+	return &connection{netConn: conn, number: p.dials.Add(1), group: group, entry: entry}, nil
+}
+
+// countExchange counts a request that is about to be sent on a connection.
+func (p *pool) countExchange(conn *connection) {
+	p.exchanges.Add(1)
+	if conn.exchangeCount > 0 {
+		p.reuses.Add(1)
+	}
+	conn.exchangeCount++
+}
+
+// totals returns the totals since the start.
+func (p *pool) totals() Totals {
+	return Totals{
+		Dials:            p.dials.Load(),
+		Exchanges:        p.exchanges.Load(),
+		Reuses:           p.reuses.Load(),
+		UnrequestedBytes: p.unrequestedBytes.Load(),
+	}
 }
 
 // reserve counts a connection that is about to be dialed. At the connection limit it evicts an idle connection, or
@@ -103,7 +153,7 @@
 	if oldest == nil {
 		return false
 	}
-	p.closeLocked(oldest.group.popOldest())
+	p.closeLocked(oldest.group.popOldest(), closeConnectionLimit)
 	return true
 }
 
@@ -113,7 +163,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if conn.group.draining {
-		p.closeLocked(conn)
+		p.closeLocked(conn, closeObsolete)
 		return
 	}
 	_ = conn.netConn.SetDeadline(time.Time{}) // fails on a closed connection, which takeIdle will detect
@@ -138,7 +188,7 @@
 	p.sweepScheduled = false
 	now := time.Now()
 	for _, group := range p.groups {
-		p.closeIdleSinceLocked(group, now.Add(-p.idleTimeout))
+		p.closeIdleSinceLocked(group, now.Add(-p.idleTimeout), closeIdleTimeout)
 	}
 	if oldest := p.oldestIdleLocked(); oldest != nil {
 		p.scheduleSweepLocked(p.idleTimeout - now.Sub(oldest.idleSince))
@@ -158,17 +208,36 @@
 }
 
 // close closes a connection that was returned by takeIdle or dial.
-func (p *pool) close(conn *connection) {
+func (p *pool) close(conn *connection, reason closeReason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closeLocked(conn)
+	p.closeLocked(conn, reason)
 }
 
 // closeLocked closes a connection and decrements the counts of open connections, so it must be called exactly once for
 // each connection. The connection must not be in its group's idle list. The caller holds p.mu.
-func (p *pool) closeLocked(conn *connection) {
+func (p *pool) closeLocked(conn *connection, reason closeReason) {
 	_ = conn.netConn.Close() // no data is left to be written
 	p.decrementOpenLocked(conn.group)
+	p.logClose(conn, reason)
+}
+
+// logClose logs the close of a connection: at level WARN if the endpoint has sent bytes that belong to no request.
+func (p *pool) logClose(conn *connection, reason closeReason) {
+	if reason == closeUnrequestedBytes {
+		count := p.unrequestedBytes.Add(1)
+		p.log.Warn(telemetry.MsgUnrequestedBytes, append(connectionAttrs(conn), "count", count)...)
+		return
+	}
+	if p.log.Enabled(context.Background(), slog.LevelDebug) {
+		p.log.Debug(telemetry.MsgConnectionClosed, append(connectionAttrs(conn), "reason", string(reason))...)
+	}
+}
+
+// connectionAttrs returns the attributes of a connection that is not in use.
+func connectionAttrs(conn *connection) []any {
+	return []any{telemetry.Endpoint(conn.endpointID()), telemetry.Connection(conn.number),
+		telemetry.Exchanges(conn.exchangeCount), telemetry.Idle(conn.idleDuration())}
 }
 
 // decrementOpenLocked decrements the counts of open connections and removes the group if it has none left. The caller
@@ -187,7 +256,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if group := p.groups[endpointID]; group != nil {
-		p.closeIdleSinceLocked(group, time.Now())
+		p.closeIdleSinceLocked(group, time.Now(), closeObsolete)
 		group.draining = true
 		delete(p.groups, endpointID)
 	}
@@ -195,24 +264,22 @@
 
 // closeIdle closes the idle connections to an endpoint. Connections in use stay open, since their responses may still
 // arrive.
-func (p *pool) closeIdle(endpointID string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closeIdleSinceLocked(p.groups[endpointID], time.Now())
+func (p *pool) closeIdle(endpointID string, reason closeReason) {
+	p.closeIdleSince(endpointID, time.Now(), reason)
 }
 
 // closeIdleSince closes the connections to an endpoint that became idle at or before cutoff.
-func (p *pool) closeIdleSince(endpointID string, cutoff time.Time) {
+func (p *pool) closeIdleSince(endpointID string, cutoff time.Time, reason closeReason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closeIdleSinceLocked(p.groups[endpointID], cutoff)
+	p.closeIdleSinceLocked(p.groups[endpointID], cutoff, reason)
 }
 
 // closeIdleSinceLocked closes the group's connections that became idle at or before cutoff. The group may be nil. The
 // caller holds p.mu.
-func (p *pool) closeIdleSinceLocked(group *endpointGroup, cutoff time.Time) {
+func (p *pool) closeIdleSinceLocked(group *endpointGroup, cutoff time.Time, reason closeReason) {
 	for group != nil && len(group.idle) > 0 && !group.idle[0].idleSince.After(cutoff) {
-		p.closeLocked(group.popOldest())
+		p.closeLocked(group.popOldest(), reason)
 	}
 }
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -149,7 +149,7 @@
 	client := newTestClient(t, first.Addr(), second.Addr())
 	client.pool.maxConnections = 1
 	client.mustServe(t)
-	result, _ := client.Attempt(context.Background(), newUnsafeRequest(), "s1", newBounds(testutil.Timeout))
+	result, _ := client.Attempt(context.Background(), newUnsafeRequest(), "s1", newOptions(testutil.Timeout))
 	if result != balancer.Served {
 		t.Errorf("got result %d, want Served after the eviction of the idle connection", result)
 	}
@@ -159,7 +159,7 @@
 	if result != balancer.LocalFailure || !errors.Is(response.Err, errPoolExhausted) {
 		t.Errorf("got result %d, error %v, want LocalFailure with errPoolExhausted", result, response.Err)
 	}
-	client.pool.close(inUse)
+	client.pool.close(inUse, closeRequested)
 }
 
 // The pool must not keep a group for an endpoint without connections, or it would grow with each endpoint.
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -29,9 +29,10 @@
 	deadline     time.Time       // deadline of the whole response
 	stallTimeout time.Duration   // maximum time of one read after the response has started
 
-	started        bool  // at least one byte of the current response was received
-	bytesRemaining int   // number of bytes that may still be read from conn for the current head or body
-	connErr        error // last error of the connection
+	started        bool      // at least one byte of the current response was received
+	firstByteAt    time.Time // time of the first byte of the first response; zero: not received
+	bytesRemaining int       // number of bytes that may still be read from conn for the current head or body
+	connErr        error     // last error of the connection
 }
 
 // readResponse reads the final response and skips the informational responses before it. It never returns a partial
@@ -76,6 +77,9 @@
 	n, err := r.conn.Read(p[:min(len(p), r.bytesRemaining)])
 	r.bytesRemaining -= n
 	r.started = r.started || n > 0
+	if n > 0 && r.firstByteAt.IsZero() {
+		r.firstByteAt = time.Now()
+	}
 	if err != nil {
 		r.connErr = err
 	}
