Do not take bytes that arrive before a request has reached its endpoint for the response

Cause: exchange read whatever the connection held after the write as the response. Nothing looked at a connection between its dial and the write, and nothing told bytes that had crossed the request on the way from a response.

Fix: a last look at every connection right before the write, new ones included; nothing was sent then, so the attempt ends as a failed connect. After the write the kernel tells how much of the request the endpoint's machine has acknowledged. A response acknowledges its request, so bytes that come while part of it is unacknowledged belong to no request: the attempt ends as a reset (it may run), the response is dropped, the connection closed. No clock is involved and no true response can be dropped.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -80,7 +80,7 @@
 	}
 	var state PeerState
 	err = raw.Control(func(fd uintptr) {
-		state = PeerState{Closed: isHungUp(fd), Flooded: unreadBytes(fd) > maxUnreadBytes}
+		state = PeerState{Closed: isHungUp(fd), Flooded: queuedBytes(fd, unix.TIOCINQ) > maxUnreadBytes}
 	})
 	if err != nil { // closed by this side: no response can be sent
 		state.Closed = true
@@ -88,6 +88,19 @@
 	return state
 }
 
+// HasUnacknowledged reports whether the peer's machine has not acknowledged all bytes that were written to a
+// connection. A response acknowledges its request, so that bytes which arrive before are no response to it.
+// HasUnacknowledged reports false if that is unknown.
+func HasUnacknowledged(conn net.Conn) bool {
+	raw, err := rawConn(conn)
+	if err != nil {
+		return false
+	}
+	unacknowledged := 0
+	err = raw.Control(func(fd uintptr) { unacknowledged = queuedBytes(fd, unix.TIOCOUTQ) })
+	return err == nil && unacknowledged > 0
+}
+
 // rawConn returns the raw connection of a socket. The error wraps errors.ErrUnsupported if conn is not a socket.
 func rawConn(conn net.Conn) (syscall.RawConn, error) {
 	syscallConn, ok := conn.(syscall.Conn)
@@ -122,9 +135,10 @@
 	return err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
-// unreadBytes returns the number of bytes that can be read from a socket; 0 if the system call fails.
-func unreadBytes(fd uintptr) int {
-	n, err := retryTransient(func() (int, error) { return ioctlGetInt(int(fd), unix.TIOCINQ) })
+// queuedBytes returns the number of bytes in a queue of a socket; 0 if the system call fails. The request TIOCINQ
+// selects the bytes that can be read, TIOCOUTQ the written bytes that are not acknowledged.
+func queuedBytes(fd uintptr, request uint) int {
+	n, err := retryTransient(func() (int, error) { return ioctlGetInt(int(fd), request) })
 	if err != nil {
 		return 0
 	}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -16,8 +16,8 @@
 // response, classify the outcome, and close other idle connections to the endpoint that are probably dead as well.
 
 const (
-	// startMargin is the minimum time between the start of an attempt and AttemptOptions.NotAfter. The process may stall
-	// for 150 ms between reading the clock and writing the request, of which endpoints tolerate 50 ms.
+	// startMargin is the minimum time between the start of an attempt and AttemptOptions.NotAfter. The process may
+	// stall for 150 ms between reading the clock and writing the request, of which endpoints tolerate 50 ms.
 	startMargin = 100 * time.Millisecond
 	// minIdleBeforeFailure is the minimum idle time of a connection for its failure at the next request to be
 	// attributed to the idle time.
@@ -155,22 +155,37 @@
 		c.logUnsent(label, balancer.NotSent, err)
 		return balancer.NotSent, unsentResponse(err)
 	}
+	if socket.Peek(conn.netConn) == socket.Readable {
+		c.pool.close(conn, closeUnrequestedBytes)
+		c.logUnsent(label, balancer.ConnectFailed, errUnrequestedBytes)
+		return balancer.ConnectFailed, unsentResponse(errUnrequestedBytes)
+	}
 	c.pool.countExchange(conn)
 	// After its release another goroutine may use the connection, so the state that is needed later is copied here.
 	snapshot := newConnectionSnapshot(conn)
 	outcome := exchange(ctx, conn.netConn, encoded, deadline, c.stallTimeout)
 	result := classify(outcome, ctx.Err() != nil)
 	c.logExchange(label, snapshot, result, outcome)
-	if outcome.reusable {
-		c.pool.release(conn)
-	} else {
-		c.pool.close(conn, closeUnusable)
+	c.finishExchange(conn, outcome)
+	if !errors.Is(outcome.response.Err, errUnrequestedBytes) {
+		c.closeDeadConnections(snapshot, result)
 	}
-	c.closeDeadConnections(snapshot, result)
 	c.logUnexpectedResponse(snapshot.endpointID, result, outcome.response)
 	return result, outcome.response
 }
 
+// finishExchange returns the connection of an exchange to the pool, or closes it.
+func (c *Client) finishExchange(conn *connection, outcome exchangeOutcome) {
+	switch {
+	case outcome.reusable:
+		c.pool.release(conn)
+	case errors.Is(outcome.response.Err, errUnrequestedBytes):
+		c.pool.close(conn, closeUnrequestedBytes)
+	default:
+		c.pool.close(conn, closeUnusable)
+	}
+}
+
 // classify returns the result that the protocol defines for the outcome of an exchange. If it is unknown whether the
 // request ran, the result says that it may have run.
 func classify(outcome exchangeOutcome, cancelled bool) balancer.Result {
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -12,6 +12,8 @@
 	errNotServing = errors.New("endpoint is not serving")
 	// errPoolExhausted means that the pool has reached its connection limit and all connections are in use.
 	errPoolExhausted = errors.New("connection pool exhausted")
+	// errUnrequestedBytes means that bytes arrived on a connection before its request could have reached the endpoint.
+	errUnrequestedBytes = errors.New("unrequested bytes before the request")
 	// errMalformedResponse marks a response that violates the protocol. Its request may have run.
 	errMalformedResponse = errors.New("malformed response")
 )
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -79,6 +79,9 @@
 	r.started = r.started || n > 0
 	if n > 0 && r.firstByteAt.IsZero() {
 		r.firstByteAt = time.Now()
+		if socket.HasUnacknowledged(r.conn) {
+			n, err = 0, errUnrequestedBytes
+		}
 	}
 	if err != nil {
 		r.connErr = err
