Reuse a connection only after a delay in which a late second response would show

Cause: a response does not name its request, and the pool reused a connection at once.

The pool takes only connections that were idle for that long, examines idle ones after 100, 200, 400 ms and so on, closes them at the first byte and reports after what time it came.

TestConnectionsWithoutIdleClose now pauses between its two requests, since a connection is not reused at once; it still demands one connection.

The picker does not know yet that a connection rests.

--- a/balancer/actions.go
+++ b/balancer/actions.go
@@ -27,6 +27,7 @@
 	Request, Endpoint string        // IDs
 	Timeout           time.Duration // timeout of the attempt; 0: until the client stops waiting
 	NotAfter          time.Duration // latest time at which the attempt may start; 0: no bound
+	ReuseDelay        time.Duration // a connection is reused only if its last response is at least this old
 }
 
 // Cancel cancels an attempt. The agent still passes its Outcome.
@@ -54,7 +55,10 @@
 type Subscribe struct{}
 
 // HealthCheck requests a health check of an endpoint, independent of any request.
-type HealthCheck struct{ Endpoint string }
+type HealthCheck struct {
+	Endpoint   string
+	ReuseDelay time.Duration // as in Send
+}
 
 // Gossip sends up to 256 bytes to all other agents, or to one. Messages may be delayed or lost.
 type Gossip struct {
--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -74,7 +74,12 @@
 	if ep.warmUp.isActive {
 		b.slowStart.scheduleNextPermit(ep, b.now, a.expectedLatencyNs, b.fleet)
 	}
-	b.addAction(Send{Request: r.id, Endpoint: ep.ID, NotAfter: notAfter})
+	b.addAction(Send{
+		Request:    r.id,
+		Endpoint:   ep.ID,
+		NotAfter:   notAfter,
+		ReuseDelay: b.reuse.currentDelay(b.now),
+	})
 	r.timerToken = 0 // the timer set while it was queued no longer applies
 	b.scheduleHedge(r)
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -35,6 +35,7 @@
 	picker       picker
 	attemptRules attemptRules
 	retryTokens  tokenBucket
+	reuse        connectionReuse
 	hedger       hedger
 	outliers     outlierDetector
 	slowStart    slowStart
@@ -116,6 +117,8 @@
 		b.handleStreamStarted(event)
 	case Abandoned:
 		b.handleAbandoned(event)
+	case UnrequestedBytes:
+		b.reuse.recordUnrequestedBytes(b.now, event.Idle)
 	}
 }
 
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -9,8 +9,9 @@
 // Memory is bounded by the open requests and attempts, the pending timers, and the endpoints that are listed
 // or have attempts in flight.
 //
-// Constants are counts, shares or multiples. Every scale comes from the settings or from observations, mostly
-// from the latency objective of a class and its mean latency. The suffix Ns marks nanoseconds in a float64.
+// Constants are counts, shares or multiples. Every scale but that of the reuse of connections comes from the
+// settings or from observations, mostly from the latency objective of a class and its mean latency. The
+// suffix Ns marks nanoseconds in a float64.
 //
 // events.go, actions.go and settings.go define the interface. validation.go validates the settings, timers.go
 // records the purpose of each pending timer, and traffic.go counts the agent's recent traffic.
@@ -63,6 +64,11 @@
 // exponential with full jitter. A request is hedged (hedge.go) if its attempt takes longer than nearly all
 // others: it is retried while the first attempt stays in flight.
 //
+// # Reuse of connections
+//
+// A response does not name its request. A connection is reused (connectionreuse.go) only after a delay within
+// which a late second response would have shown on it. The delay grows if such bytes come later.
+//
 // # Idempotency and order
 //
 // The rules for attempts (idempotency.go) apply to retries and to hedged requests alike. A request that may
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -13,6 +13,7 @@
 func (HealthCheckResult) event() {}
 func (TimerFired) event()        {}
 func (GossipMessage) event()     {}
+func (UnrequestedBytes) event()  {}
 
 // EndpointState is the state of an endpoint in the endpoint list.
 type EndpointState uint8
@@ -158,6 +159,12 @@
 // TimerFired reports that the timer of the SetTimer with the same token has fired.
 type TimerFired struct{ Token int64 }
 
+// UnrequestedBytes reports that an endpoint has sent bytes that belong to no request. The connection is closed.
+type UnrequestedBytes struct {
+	Endpoint string
+	Idle     time.Duration // time from the last response on the connection to the bytes, at most
+}
+
 // GossipMessage is a message from another agent.
 type GossipMessage struct {
 	From int // number of the sending agent
--- a/internal/agent/actions.go
+++ b/internal/agent/actions.go
@@ -24,7 +24,7 @@
 	case balancer.SetTimer:
 		l.timers.add(&timer{dueAt: now + max(0, action.After), token: action.Token})
 	case balancer.HealthCheck:
-		l.startHealthCheck(ctx, action.Endpoint)
+		l.startHealthCheck(ctx, action)
 	case balancer.Subscribe:
 		l.discovery.Subscribe(ctx)
 	case balancer.Unsubscribe:
--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -31,7 +31,7 @@
 		l.handleOutcome(r, outcome, nil)
 		return
 	}
-	options := l.attemptOptions(outcome.Attempt, deadline, action.NotAfter)
+	options := l.attemptOptions(outcome.Attempt, deadline, action)
 	go l.runAttempt(attemptCtx, r, outcome, now, options) // returns by the deadline
 }
 
@@ -52,11 +52,15 @@
 	return deadline
 }
 
-// attemptOptions returns the options of an attempt for times on the agent's clock. A notAfter of 0 means no limit.
-func (l *eventLoop) attemptOptions(number int, deadline, notAfter time.Duration) upstream.AttemptOptions {
-	options := upstream.AttemptOptions{Number: number, Deadline: l.clock.ToTime(deadline)}
-	if notAfter > 0 {
-		options.NotAfter = l.clock.ToTime(notAfter)
+// attemptOptions returns the options of an attempt. deadline is on the agent's clock.
+func (l *eventLoop) attemptOptions(number int, deadline time.Duration, action balancer.Send) upstream.AttemptOptions {
+	options := upstream.AttemptOptions{
+		Number:     number,
+		Deadline:   l.clock.ToTime(deadline),
+		ReuseDelay: action.ReuseDelay,
+	}
+	if action.NotAfter > 0 {
+		options.NotAfter = l.clock.ToTime(action.NotAfter)
 	}
 	return options
 }
@@ -92,12 +96,12 @@
 }
 
 // startHealthCheck starts a health check of an endpoint. Its result is posted as an event for the decision module.
-func (l *eventLoop) startHealthCheck(ctx context.Context, endpointID string) {
+func (l *eventLoop) startHealthCheck(ctx context.Context, action balancer.HealthCheck) {
 	startedAt := l.clock.Now()
 	go func() { // returns with the health check, which has its own timeout
-		result, response := l.upstream.HealthCheck(ctx, endpointID)
+		result, response := l.upstream.HealthCheck(ctx, action.Endpoint, action.ReuseDelay)
 		l.post(moduleEvent{balancer.HealthCheckResult{
-			Endpoint:   endpointID,
+			Endpoint:   action.Endpoint,
 			Result:     result,
 			Latency:    l.clock.FromTime(response.EndedAt) - startedAt,
 			LoadReport: response.LoadReport(),
--- a/internal/agent/attempts_test.go
+++ b/internal/agent/attempts_test.go
@@ -63,6 +63,7 @@
 	a := startAgent(t, c)
 	var from []string
 	for i := range 2 {
+		time.Sleep(200 * time.Millisecond) // longer than the reuse delay
 		if status := requestStatus(t, a, "GET", "/look", testutil.NthID(i), "7000"); status != http.StatusOK {
 			t.Fatalf("got status %d, want 200", status)
 		}
--- a/internal/agent/disconnect_test.go
+++ b/internal/agent/disconnect_test.go
@@ -241,7 +241,7 @@
 			recorder := newRequestRecorder()
 			c := newConfig(t, server)
 			a, _ := startAgentWith(t, c, func(a *Agent) {
-				options := upstreamOptions(c, a.loop.endpoints, a.log)
+				options := a.loop.upstreamOptions(c)
 				options.DialControl = func(_, _ string, _ syscall.RawConn) error {
 					dialing <- struct{}{}
 					<-gate
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -75,26 +75,27 @@
 		module:     module,
 		log:        log,
 		endpoints:  endpoints,
-		upstream:   upstream.New(upstreamOptions(c, endpoints, log)),
 		messages:   make(chan message, maxQueuedMessages),
 		done:       make(chan struct{}),
 		ready:      make(chan struct{}),
 		lastStepAt: agentClock.Now() - maxTick, // makes the first step due immediately
 		requests:   newRequestTable(),
 	}
+	l.upstream = upstream.New(l.upstreamOptions(c))
 	l.discovery = discovery.New(l.discoveryOptions(c))
 	l.pending = append(l.pending, l.discovery.CachedList())
 	return l, nil
 }
 
-func upstreamOptions(c *config.Config, endpoints *endpoint.Table, log *slog.Logger) upstream.Options {
+func (l *eventLoop) upstreamOptions(c *config.Config) upstream.Options {
 	return upstream.Options{
-		Table:               endpoints,
+		Table:               l.endpoints,
 		LoadReports:         c.Settings.LoadReports,
 		ConnectTimeout:      c.Settings.ConnectTimeout,
 		EndpointIdleTimeout: c.Settings.IdleClose,
 		MaxConnections:      c.MaxEndpointConnections(),
-		Log:                 log,
+		OnUnrequestedBytes:  func(event balancer.UnrequestedBytes) { l.post(moduleEvent{event}) },
+		Log:                 l.log,
 	}
 }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -26,9 +26,10 @@
 
 // AttemptOptions are the parameters of one attempt.
 type AttemptOptions struct {
-	Number   int       // number of the attempt within its request, for the log
-	Deadline time.Time // time by which the attempt must have finished
-	NotAfter time.Time // latest start of the attempt; zero means no limit
+	Number     int           // number of the attempt within its request, for the log
+	Deadline   time.Time     // time by which the attempt must have finished
+	NotAfter   time.Time     // latest start of the attempt; zero means no limit
+	ReuseDelay time.Duration // a connection is reused only if it has been idle for at least this time
 }
 
 // allowsStart reports whether an attempt may start now.
@@ -47,7 +48,7 @@
 	stopAfterFunc := context.AfterFunc(request.Lifetime, cancelDial)
 	defer stopAfterFunc()
 	label := exchangeLabel{requestID: request.ID, attempt: options.Number, endpointID: endpointID}
-	conn, failure := c.connect(dialCtx, endpointID, options.Deadline)
+	conn, failure := c.connect(dialCtx, endpointID, options.Deadline, options.ReuseDelay)
 	if failure != nil {
 		c.logUnsent(label, failure.result, failure)
 		return failure.result, unsentResponse(failure)
@@ -62,11 +63,12 @@
 }
 
 // HealthCheck sends a health check to an endpoint. If load reports are enabled, it requests protocol.LoadReportPath
-// instead of protocol.HealthPath.
-func (c *Client) HealthCheck(ctx context.Context, endpointID string) (balancer.Result, Response) {
+// instead of protocol.HealthPath. reuseDelay is that of AttemptOptions.
+func (c *Client) HealthCheck(ctx context.Context, endpointID string,
+	reuseDelay time.Duration) (balancer.Result, Response) {
 	deadline := time.Now().Add(c.healthCheckTimeout)
 	label := exchangeLabel{endpointID: endpointID}
-	conn, failure := c.connect(ctx, endpointID, deadline)
+	conn, failure := c.connect(ctx, endpointID, deadline, reuseDelay)
 	if failure != nil {
 		c.logUnsent(label, failure.result, failure)
 		return failure.result, unsentResponse(failure)
@@ -92,13 +94,14 @@
 //
 // It returns a *connectError instead of an error, because each failure carries the result of its attempt, and because
 // a nil *connectError in an error interface would not compare equal to nil.
-func (c *Client) connect(ctx context.Context, endpointID string, deadline time.Time) (*connection, *connectError) {
+func (c *Client) connect(ctx context.Context, endpointID string, deadline time.Time,
+	reuseDelay time.Duration) (*connection, *connectError) {
 	for {
 		entry, serving := c.table.LookupServing(endpointID)
 		if !serving { // nothing was sent, so the request may be sent to another endpoint
 			return nil, &connectError{endpointID, balancer.ConnectFailed, errNotServing}
 		}
-		conn, failure := c.takeIdleOrDial(ctx, entry, deadline)
+		conn, failure := c.takeIdleOrDial(ctx, entry, deadline, reuseDelay)
 		if failure != nil {
 			return nil, failure
 		}
@@ -115,10 +118,10 @@
 	return serving && conn.entry.IsSameProcess(entry)
 }
 
-// takeIdleOrDial takes an idle connection from the pool, or dials a new one if none is idle.
-func (c *Client) takeIdleOrDial(ctx context.Context, entry endpoint.Entry,
-	deadline time.Time) (*connection, *connectError) {
-	if conn := c.pool.takeIdle(entry.ID); conn != nil {
+// takeIdleOrDial takes an idle connection from the pool, or dials a new one if none has been idle for reuseDelay.
+func (c *Client) takeIdleOrDial(ctx context.Context, entry endpoint.Entry, deadline time.Time,
+	reuseDelay time.Duration) (*connection, *connectError) {
+	if conn := c.pool.takeIdle(entry.ID, reuseDelay); conn != nil {
 		return conn, nil
 	}
 	conn, err := c.pool.dial(ctx, entry, deadline)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -35,7 +35,10 @@
 	ConnectTimeout      time.Duration             // timeout of a dial; base of the health check and stall timeouts
 	EndpointIdleTimeout time.Duration             // idle timeout of the endpoints; 0 means that they have none
 	MaxConnections      int                       // maximum number of connections to all endpoints; 0 means no limit
-	Log                 *slog.Logger
+	// OnUnrequestedBytes is called, on any goroutine, when a connection is closed because of bytes that belong to no
+	// request. It may block. It may be nil.
+	OnUnrequestedBytes func(balancer.UnrequestedBytes)
+	Log                *slog.Logger
 	// DialControl is the Control function of the net.Dialer. It may be nil.
 	DialControl func(network, address string, conn syscall.RawConn) error
 }
@@ -58,6 +61,7 @@
 	}
 	pool := newPool(idleTimeout, options.ConnectTimeout, options.MaxConnections, options.Log)
 	pool.dialer.Control = options.DialControl
+	pool.onUnrequestedBytes = options.OnUnrequestedBytes
 	return &Client{
 		pool:               pool,
 		table:              options.Table,
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"time"
 
 	"ashshunt/internal/endpoint"
@@ -15,6 +16,7 @@
 	entry         endpoint.Entry // table entry of the endpoint at the time of the dial
 	exchangeCount int            // number of requests that were sent on it
 	idleSince     time.Time      // time of the last release, zero before the first one; written under pool.mu
+	examineAt     time.Time      // time of the next examination while it is idle; protected by pool.mu
 }
 
 func (c *connection) endpointID() string { return c.group.endpointID }
@@ -55,12 +57,16 @@
 	draining bool
 }
 
-// popNewest removes and returns the idle connection that became idle last. There must be an idle connection.
-func (g *endpointGroup) popNewest() *connection {
-	last := len(g.idle) - 1
-	conn := g.idle[last]
-	g.idle = g.idle[:last]
-	return conn
+// popNewest removes and returns the connection that became idle last, of those that became idle at or before cutoff. It
+// returns nil if there is none.
+func (g *endpointGroup) popNewest(cutoff time.Time) *connection {
+	for i, conn := range slices.Backward(g.idle) {
+		if !conn.idleSince.After(cutoff) {
+			g.idle = slices.Delete(g.idle, i, i+1)
+			return conn
+		}
+	}
+	return nil
 }
 
 // popOldest removes and returns the connection that has been idle for the longest time. There must be an idle
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"ashshunt/balancer"
 	"ashshunt/internal/endpoint"
 	"ashshunt/internal/socket"
 	"ashshunt/internal/telemetry"
@@ -17,20 +18,25 @@
 // reused connection fails, and the request may then run twice.
 //
 // Idle connections are not read. Bytes that arrive on one belong to no request and must not be read as the response to
-// the next request, so a connection is examined when it is taken, and closed if any bytes have arrived.
+// the next request, so a connection is examined when it is taken, and closed if any bytes have arrived. The sweeps
+// (sweep.go) examine it while it is idle, so that the pool can report after what time such bytes come.
 //
-// The pool has no permanent goroutine. While connections are idle, a timer runs sweep, which closes those that have
-// exceeded the idle timeout and schedules the next sweep.
+// The pool has no permanent goroutine. While connections are idle, a timer runs sweep.
 type pool struct {
 	idleTimeout    time.Duration // a connection that is idle for longer is closed
 	maxConnections int           // maximum of openCount; 0 means no limit
 	dialer         socket.Dialer
 	log            *slog.Logger
+	// onUnrequestedBytes is called, without the mutex, when a connection is closed because of bytes that belong to no
+	// request. It may be nil.
+	onUnrequestedBytes func(balancer.UnrequestedBytes)
 
-	mu             sync.Mutex                // protects the fields below and the groups
-	openCount      int                       // number of connections that are idle, in use or being dialed
-	groups         map[string]*endpointGroup // groups with openCount > 0 that are not draining, by endpoint ID
-	sweepScheduled bool                      // a timer for sweep is running
+	mu         sync.Mutex                // protects the fields below and the groups
+	openCount  int                       // number of connections that are idle, in use or being dialed
+	groups     map[string]*endpointGroup // groups with openCount > 0 that are not draining, by endpoint ID
+	sweepAt    time.Time                 // time of the next sweep; zero: none is scheduled
+	sweepTimer *time.Timer               // runs sweep; nil before the first one is scheduled
+	unreported []balancer.UnrequestedBytes
 
 	// These counts are safe for concurrent use.
 	dials, exchanges, reuses, unrequestedBytes atomic.Int64
@@ -54,13 +60,17 @@
 	}
 }
 
-// takeIdle takes the most recently used idle connection to an endpoint that is still usable. It returns nil if there is
-// none.
-func (p *pool) takeIdle(endpointID string) *connection {
+// takeIdle takes the most recently used connection to an endpoint that is still usable and has been idle for at least
+// reuseDelay. It returns nil if there is none.
+func (p *pool) takeIdle(endpointID string, reuseDelay time.Duration) *connection {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for group := p.groups[endpointID]; group != nil && len(group.idle) > 0; {
-		conn := group.popNewest()
+	defer p.unlockAndReport()
+	group := p.groups[endpointID]
+	if group == nil {
+		return nil
+	}
+	cutoff := time.Now().Add(-reuseDelay)
+	for conn := group.popNewest(cutoff); conn != nil; conn = group.popNewest(cutoff) {
 		reason := p.examineLocked(conn)
 		if reason == "" {
 			return conn
@@ -168,31 +178,9 @@
 	}
 	_ = conn.netConn.SetDeadline(time.Time{}) // fails on a closed connection, which takeIdle will detect
 	conn.idleSince = time.Now()
+	conn.examineAt = conn.idleSince.Add(p.firstExamination())
 	conn.group.idle = append(conn.group.idle, conn)
-	p.scheduleSweepLocked(p.idleTimeout)
-}
-
-// scheduleSweepLocked schedules sweep to run after a delay, unless it is scheduled already. The caller holds p.mu.
-func (p *pool) scheduleSweepLocked(after time.Duration) {
-	if !p.sweepScheduled {
-		p.sweepScheduled = true
-		time.AfterFunc(after, p.sweep)
-	}
-}
-
-// sweep closes the connections that have reached the idle timeout and schedules the next sweep for the time when the
-// next connection reaches it.
-func (p *pool) sweep() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.sweepScheduled = false
-	now := time.Now()
-	for _, group := range p.groups {
-		p.closeIdleSinceLocked(group, now.Add(-p.idleTimeout), closeIdleTimeout)
-	}
-	if oldest := p.oldestIdleLocked(); oldest != nil {
-		p.scheduleSweepLocked(p.idleTimeout - now.Sub(oldest.idleSince))
-	}
+	p.scheduleSweepLocked(conn.examineAt)
 }
 
 // oldestIdleLocked returns the connection that has been idle for the longest time, or nil if none is idle. The caller
@@ -210,15 +198,31 @@
 // close closes a connection that was returned by takeIdle or dial.
 func (p *pool) close(conn *connection, reason closeReason) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndReport()
 	p.closeLocked(conn, reason)
 }
 
+// unlockAndReport releases p.mu and then reports the unrequested bytes that were found while it was held.
+func (p *pool) unlockAndReport() {
+	unreported := p.unreported
+	p.unreported = nil
+	p.mu.Unlock()
+	for _, event := range unreported {
+		if p.onUnrequestedBytes != nil {
+			p.onUnrequestedBytes(event)
+		}
+	}
+}
+
 // closeLocked closes a connection and decrements the counts of open connections, so it must be called exactly once for
 // each connection. The connection must not be in its group's idle list. The caller holds p.mu.
 func (p *pool) closeLocked(conn *connection, reason closeReason) {
 	_ = conn.netConn.Close() // no data is left to be written
 	p.decrementOpenLocked(conn.group)
+	if reason == closeUnrequestedBytes {
+		event := balancer.UnrequestedBytes{Endpoint: conn.endpointID(), Idle: conn.idleDuration()}
+		p.unreported = append(p.unreported, event)
+	}
 	p.logClose(conn, reason)
 }
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -154,7 +154,7 @@
 		t.Errorf("got result %d, want Served after the eviction of the idle connection", result)
 	}
 	testutil.Receive(t, first.Closed)
-	inUse := client.pool.takeIdle("s1")
+	inUse := client.pool.takeIdle("s1", 0)
 	result, response := client.attempt(testutil.Timeout)
 	if result != balancer.LocalFailure || !errors.Is(response.Err, errPoolExhausted) {
 		t.Errorf("got result %d, error %v, want LocalFailure with errPoolExhausted", result, response.Err)
--- /dev/null
+++ b/internal/upstream/sweep.go
@@ -0,0 +1,70 @@
+package upstream
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// firstExamination is the idle time after which a sweep first examines a connection.
+	firstExamination = 100 * time.Millisecond
+	// examinationFactor is the idle time at an examination as a multiple of that at the previous one.
+	examinationFactor = 2
+	// minSweepInterval is the minimum time between two sweeps.
+	minSweepInterval = 50 * time.Millisecond
+)
+
+// firstExamination returns the idle time after which a sweep first examines a connection.
+func (p *pool) firstExamination() time.Duration { return min(firstExamination, p.idleTimeout) }
+
+// scheduleSweepLocked schedules a sweep, unless one is scheduled by then. The caller holds p.mu.
+func (p *pool) scheduleSweepLocked(at time.Time) {
+	if !p.sweepAt.IsZero() && !at.Add(minSweepInterval).Before(p.sweepAt) {
+		return
+	}
+	p.sweepAt = at
+	if p.sweepTimer == nil {
+		p.sweepTimer = time.AfterFunc(time.Until(at), p.sweep)
+		return
+	}
+	p.sweepTimer.Reset(time.Until(at))
+}
+
+// sweep examines the idle connections that are due, closes those that are not usable any more, and schedules the next
+// sweep.
+func (p *pool) sweep() {
+	p.mu.Lock()
+	defer p.unlockAndReport()
+	p.sweepAt = time.Time{}
+	now := time.Now()
+	var next time.Time // time of the next examination; zero: none
+	for _, group := range p.groups {
+		group.idle = slices.DeleteFunc(group.idle, func(conn *connection) bool {
+			if reason := p.sweepConnectionLocked(conn, now); reason != "" {
+				p.closeLocked(conn, reason)
+				return true
+			}
+			if next.IsZero() || conn.examineAt.Before(next) {
+				next = conn.examineAt
+			}
+			return false
+		})
+	}
+	if earliest := now.Add(minSweepInterval); !next.IsZero() {
+		if next.Before(earliest) {
+			next = earliest
+		}
+		p.scheduleSweepLocked(next)
+	}
+}
+
+// sweepConnectionLocked examines an idle connection if that is due and sets the time of its next examination. It
+// returns the reason for which the connection must be closed, or "". The caller holds p.mu.
+func (p *pool) sweepConnectionLocked(conn *connection, now time.Time) closeReason {
+	if now.Before(conn.examineAt) {
+		return ""
+	}
+	idle := min(examinationFactor*now.Sub(conn.idleSince), p.idleTimeout)
+	conn.examineAt = conn.idleSince.Add(idle)
+	return p.examineLocked(conn)
+}
