Drop bytes that come soon after the last response, so that connections rest for less

Change: what matters is not when a request is sent but when its response may come. Bytes within the late window (80 ms) of the last response on a connection may still belong to that one. They prove nothing, whatever they say: the attempt ends as a reset, the connection is closed. A connection therefore rests only for the window less a low quantile (2%) of latencies, which the module learns; until then for the whole window. An idle connection is closed after 0.8 s if its endpoint has one that was used later. The window grows to twice the time after which unrequested bytes came, if that is after the window; the kernel says when they came.

--- a/balancer/actions.go
+++ b/balancer/actions.go
@@ -27,7 +27,7 @@
 	Request, Endpoint string        // IDs
 	Timeout           time.Duration // timeout of the attempt; 0: until the client stops waiting
 	NotAfter          time.Duration // latest time at which the attempt may start; 0: no bound
-	ReuseDelay        time.Duration // a connection is reused only if its last response is at least this old
+	Reuse             ReuseTerms    // terms on which the attempt may reuse a connection
 }
 
 // Cancel cancels an attempt. The agent still passes its Outcome.
@@ -56,8 +56,8 @@
 
 // HealthCheck requests a health check of an endpoint, independent of any request.
 type HealthCheck struct {
-	Endpoint   string
-	ReuseDelay time.Duration // as in Send
+	Endpoint string
+	Reuse    ReuseTerms // as in Send
 }
 
 // Gossip sends up to 256 bytes to all other agents, or to one. Messages may be delayed or lost.
--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -75,10 +75,10 @@
 		b.slowStart.scheduleNextPermit(ep, b.now, a.expectedLatencyNs, b.fleet)
 	}
 	b.addAction(Send{
-		Request:    r.id,
-		Endpoint:   ep.ID,
-		NotAfter:   notAfter,
-		ReuseDelay: b.reuse.currentDelay(b.now),
+		Request:  r.id,
+		Endpoint: ep.ID,
+		NotAfter: notAfter,
+		Reuse:    b.reuse.terms(b.now, r.expectedLatencyNs()),
 	})
 	r.timerToken = 0 // the timer set while it was queued no longer applies
 	b.scheduleHedge(r)
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -63,6 +63,7 @@
 	b.traffic = newTrafficStats(b.classes.reference().Objective)
 	b.limiter = newConcurrencyLimiter(settings.Agents)
 	b.retryTokens = newTokenBucket()
+	b.reuse = newConnectionReuse()
 	b.hedger = newHedger()
 	b.attemptRules = attemptRules{
 		maxAttempts:    settings.MaxAttempts,
@@ -118,7 +119,7 @@
 	case Abandoned:
 		b.handleAbandoned(event)
 	case UnrequestedBytes:
-		b.reuse.recordUnrequestedBytes(b.now, event.Idle)
+		b.reuse.recordUnrequestedBytes(b.now, event.After)
 	}
 }
 
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -9,9 +9,9 @@
 // Memory is bounded by the open requests and attempts, the pending timers, and the endpoints that are listed
 // or have attempts in flight.
 //
-// Constants are counts, shares or multiples. Every scale but that of the reuse of connections comes from the
-// settings or from observations, mostly from the latency objective of a class and its mean latency. The
-// suffix Ns marks nanoseconds in a float64.
+// Constants are counts, shares or multiples. Every scale but that of the late window comes from the settings
+// or from observations, mostly from the latency objective of a class and its mean latency. The suffix Ns
+// marks nanoseconds in a float64.
 //
 // events.go, actions.go and settings.go define the interface. validation.go validates the settings, timers.go
 // records the purpose of each pending timer, and traffic.go counts the agent's recent traffic.
@@ -66,8 +66,9 @@
 //
 // # Reuse of connections
 //
-// A response does not name its request. A connection is reused (connectionreuse.go) only after a delay within
-// which a late second response would have shown on it. The delay grows if such bytes come later.
+// A response does not name its request. Bytes that come within the late window of the last response on their
+// connection are no response to the next request (connectionreuse.go). A connection rests until the next
+// response will hardly be so early.
 //
 // # Idempotency and order
 //
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -103,6 +103,9 @@
 		return // only fast responses reach such a client: the latency is not representative
 	}
 	ep.responses.updateLatencyRatio(a.latencyRatio(latency))
+	if !a.usesNewConnection {
+		b.reuse.recordLatency(a.latencyRatio(latency))
+	}
 	deviation := r.class.updateLatency(b.now, latency, r.workNs)
 	b.hedger.updateDeviation(math.Abs(deviation))
 	b.updateLimit(r.class.objectiveRatio(latency))
--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -55,9 +55,9 @@
 // attemptOptions returns the options of an attempt. deadline is on the agent's clock.
 func (l *eventLoop) attemptOptions(number int, deadline time.Duration, action balancer.Send) upstream.AttemptOptions {
 	options := upstream.AttemptOptions{
-		Number:     number,
-		Deadline:   l.clock.ToTime(deadline),
-		ReuseDelay: action.ReuseDelay,
+		Number:   number,
+		Deadline: l.clock.ToTime(deadline),
+		Reuse:    action.Reuse,
 	}
 	if action.NotAfter > 0 {
 		options.NotAfter = l.clock.ToTime(action.NotAfter)
@@ -99,7 +99,7 @@
 func (l *eventLoop) startHealthCheck(ctx context.Context, action balancer.HealthCheck) {
 	startedAt := l.clock.Now()
 	go func() { // returns with the health check, which has its own timeout
-		result, response := l.upstream.HealthCheck(ctx, action.Endpoint, action.ReuseDelay)
+		result, response := l.upstream.HealthCheck(ctx, action.Endpoint, action.Reuse)
 		l.post(moduleEvent{balancer.HealthCheckResult{
 			Endpoint:   action.Endpoint,
 			Result:     result,
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -101,6 +102,23 @@
 	return err == nil && unacknowledged > 0
 }
 
+// SinceReceived returns the time since the last bytes were received on a connection, in whole milliseconds. ok is false
+// if that is unknown.
+func SinceReceived(conn net.Conn) (elapsed time.Duration, ok bool) {
+	raw, err := rawConn(conn)
+	if err != nil {
+		return 0, false
+	}
+	var info *unix.TCPInfo
+	controlErr := raw.Control(func(fd uintptr) {
+		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || controlErr != nil {
+		return 0, false
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+}
+
 // rawConn returns the raw connection of a socket. The error wraps errors.ErrUnsupported if conn is not a socket.
 func rawConn(conn net.Conn) (syscall.RawConn, error) {
 	syscallConn, ok := conn.(syscall.Conn)
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -26,10 +26,10 @@
 
 // AttemptOptions are the parameters of one attempt.
 type AttemptOptions struct {
-	Number     int           // number of the attempt within its request, for the log
-	Deadline   time.Time     // time by which the attempt must have finished
-	NotAfter   time.Time     // latest start of the attempt; zero means no limit
-	ReuseDelay time.Duration // a connection is reused only if it has been idle for at least this time
+	Number   int                 // number of the attempt within its request, for the log
+	Deadline time.Time           // time by which the attempt must have finished
+	NotAfter time.Time           // latest start of the attempt; zero means no limit
+	Reuse    balancer.ReuseTerms // terms on which the attempt may reuse a connection
 }
 
 // allowsStart reports whether an attempt may start now.
@@ -48,7 +48,7 @@
 	stopAfterFunc := context.AfterFunc(request.Lifetime, cancelDial)
 	defer stopAfterFunc()
 	label := exchangeLabel{requestID: request.ID, attempt: options.Number, endpointID: endpointID}
-	conn, failure := c.connect(dialCtx, endpointID, options.Deadline, options.ReuseDelay)
+	conn, failure := c.connect(dialCtx, endpointID, options.Deadline, options.Reuse.MinIdle)
 	if failure != nil {
 		c.logUnsent(label, failure.result, failure)
 		return failure.result, unsentResponse(failure)
@@ -59,16 +59,17 @@
 		c.logUnsent(label, balancer.NotSent, nil)
 		return balancer.NotSent, unsentResponse(nil)
 	}
-	return c.sendOn(ctx, conn, label, newForwardedRequest(request, options.Deadline), options.Deadline)
+	return c.sendOn(ctx, conn, label, newForwardedRequest(request, options.Deadline), options.Deadline,
+		options.Reuse.LateWindow)
 }
 
 // HealthCheck sends a health check to an endpoint. If load reports are enabled, it requests protocol.LoadReportPath
-// instead of protocol.HealthPath. reuseDelay is that of AttemptOptions.
+// instead of protocol.HealthPath.
 func (c *Client) HealthCheck(ctx context.Context, endpointID string,
-	reuseDelay time.Duration) (balancer.Result, Response) {
+	reuse balancer.ReuseTerms) (balancer.Result, Response) {
 	deadline := time.Now().Add(c.healthCheckTimeout)
 	label := exchangeLabel{endpointID: endpointID}
-	conn, failure := c.connect(ctx, endpointID, deadline, reuseDelay)
+	conn, failure := c.connect(ctx, endpointID, deadline, reuse.MinIdle)
 	if failure != nil {
 		c.logUnsent(label, failure.result, failure)
 		return failure.result, unsentResponse(failure)
@@ -78,7 +79,7 @@
 		path = protocol.LoadReportPath
 	}
 	request := newHealthCheckRequest(path, conn.netConn.RemoteAddr().String())
-	result, response := c.sendOn(ctx, conn, label, request, deadline)
+	result, response := c.sendOn(ctx, conn, label, request, deadline, reuse.LateWindow)
 	if path == protocol.LoadReportPath {
 		response.copyLoadReportToHeader()
 	}
@@ -95,13 +96,13 @@
 // It returns a *connectError instead of an error, because each failure carries the result of its attempt, and because
 // a nil *connectError in an error interface would not compare equal to nil.
 func (c *Client) connect(ctx context.Context, endpointID string, deadline time.Time,
-	reuseDelay time.Duration) (*connection, *connectError) {
+	minIdle time.Duration) (*connection, *connectError) {
 	for {
 		entry, serving := c.table.LookupServing(endpointID)
 		if !serving { // nothing was sent, so the request may be sent to another endpoint
 			return nil, &connectError{endpointID, balancer.ConnectFailed, errNotServing}
 		}
-		conn, failure := c.takeIdleOrDial(ctx, entry, deadline, reuseDelay)
+		conn, failure := c.takeIdleOrDial(ctx, entry, deadline, minIdle)
 		if failure != nil {
 			return nil, failure
 		}
@@ -118,10 +119,10 @@
 	return serving && conn.entry.IsSameProcess(entry)
 }
 
-// takeIdleOrDial takes an idle connection from the pool, or dials a new one if none has been idle for reuseDelay.
+// takeIdleOrDial takes an idle connection from the pool, or dials a new one if none has been idle for minIdle.
 func (c *Client) takeIdleOrDial(ctx context.Context, entry endpoint.Entry, deadline time.Time,
-	reuseDelay time.Duration) (*connection, *connectError) {
-	if conn := c.pool.takeIdle(entry.ID, reuseDelay); conn != nil {
+	minIdle time.Duration) (*connection, *connectError) {
+	if conn := c.pool.takeIdle(entry.ID, minIdle); conn != nil {
 		return conn, nil
 	}
 	conn, err := c.pool.dial(ctx, entry, deadline)
@@ -151,7 +152,7 @@
 // sendOn sends a request on a connection and reads the response. It returns the connection to the pool or closes it,
 // and returns the result of the exchange and the response.
 func (c *Client) sendOn(ctx context.Context, conn *connection, label exchangeLabel, request *http.Request,
-	deadline time.Time) (balancer.Result, Response) {
+	deadline time.Time, lateWindow time.Duration) (balancer.Result, Response) {
 	encoded, err := encodeRequest(request)
 	if err != nil { // no byte was sent, so the request can't have run
 		c.pool.release(conn)
@@ -166,11 +167,15 @@
 	c.pool.countExchange(conn)
 	// After its release another goroutine may use the connection, so the state that is needed later is copied here.
 	snapshot := newConnectionSnapshot(conn)
-	outcome := exchange(ctx, conn.netConn, encoded, deadline, c.stallTimeout)
+	outcome := exchange(ctx, conn.netConn, encoded, exchangeLimits{
+		deadline:     deadline,
+		stallTimeout: c.stallTimeout,
+		notBefore:    conn.endOfLateWindow(lateWindow),
+	})
 	result := classify(outcome, ctx.Err() != nil)
 	c.logExchange(label, snapshot, result, outcome)
 	c.finishExchange(conn, outcome)
-	if !errors.Is(outcome.response.Err, errUnrequestedBytes) {
+	if !outcome.isNoResponse() {
 		c.closeDeadConnections(snapshot, result)
 	}
 	c.logUnexpectedResponse(snapshot.endpointID, result, outcome.response)
@@ -184,6 +189,8 @@
 		c.pool.release(conn)
 	case errors.Is(outcome.response.Err, errUnrequestedBytes):
 		c.pool.close(conn, closeUnrequestedBytes)
+	case errors.Is(outcome.response.Err, errEarlyBytes):
+		c.pool.close(conn, closeEarlyBytes)
 	default:
 		c.pool.close(conn, closeUnusable)
 	}
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -152,12 +152,12 @@
 		return true
 	})
 	client := newTestClient(t, server.Addr())
-	result, _ := client.HealthCheck(context.Background(), "s0", 0)
+	result, _ := client.HealthCheck(context.Background(), "s0", balancer.ReuseTerms{})
 	if path := testutil.Receive(t, server.Received).URL.Path; result != balancer.Served || path != "/healthz" {
 		t.Errorf("got result %d, path %s, want Served, /healthz", result, path)
 	}
 	client.loadReports = balancer.LoadReportsWithHealthChecks
-	_, response := client.HealthCheck(context.Background(), "s0", 0)
+	_, response := client.HealthCheck(context.Background(), "s0", balancer.ReuseTerms{})
 	if path := testutil.Receive(t, server.Received).URL.Path; path != "/load" {
 		t.Errorf("got path %s, want /load", path)
 	}
@@ -166,7 +166,8 @@
 		t.Errorf("got load report %+v, want in flight 7, queue 2, utilization 0.61, no throughput", report)
 	}
 	status.Store(http.StatusServiceUnavailable)
-	if result, _ := client.HealthCheck(context.Background(), "s0", 0); result != balancer.ServerError {
+	result, _ = client.HealthCheck(context.Background(), "s0", balancer.ReuseTerms{})
+	if result != balancer.ServerError {
 		t.Errorf("got result %d, want ServerError", result)
 	}
 }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -29,6 +29,15 @@
 	return time.Since(c.idleSince)
 }
 
+// endOfLateWindow returns the end of the late window after the last response on the connection. Before it, no bytes are
+// the response to the next request. It is zero for a new connection.
+func (c *connection) endOfLateWindow(lateWindow time.Duration) time.Time {
+	if c.idleSince.IsZero() {
+		return time.Time{}
+	}
+	return c.idleSince.Add(lateWindow)
+}
+
 // closeReason says why the pool closes a connection.
 type closeReason string
 
@@ -37,8 +46,10 @@
 	closeUnusable         closeReason = "unusable after its last exchange"
 	closeEndedByEndpoint  closeReason = "closed by the endpoint"
 	closeUnrequestedBytes closeReason = "unrequested bytes"
+	closeEarlyBytes       closeReason = "bytes too soon after the last response"
 	closeNotExaminable    closeReason = "can't be examined"
 	closeIdleTimeout      closeReason = "idle timeout"
+	closeExcess           closeReason = "excess idle connection"
 	closeConnectionLimit  closeReason = "connection limit"
 	closeObsolete         closeReason = "endpoint drains, was removed, was restarted or has a new address"
 	closePresumedDead     closeReason = "presumed dead"
--- a/internal/upstream/dial_test.go
+++ b/internal/upstream/dial_test.go
@@ -38,7 +38,7 @@
 			client.mustServe(t)
 			client.CloseIdle("s0")
 			failDials(client, 5, cause)
-			if result, _ := client.HealthCheck(t.Context(), "s0", 0); result != balancer.Served {
+			if result, _ := client.HealthCheck(t.Context(), "s0", balancer.ReuseTerms{}); result != balancer.Served {
 				t.Errorf("health check: got result %d, want Served", result)
 			}
 		})
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -14,6 +14,9 @@
 	errPoolExhausted = errors.New("connection pool exhausted")
 	// errUnrequestedBytes means that bytes arrived on a connection before its request could have reached the endpoint.
 	errUnrequestedBytes = errors.New("unrequested bytes before the request")
+	// errEarlyBytes means that bytes arrived so soon after the last response on their connection that they may still
+	// belong to that.
+	errEarlyBytes = errors.New("bytes too soon after the last response on the connection")
 	// errMalformedResponse marks a response that violates the protocol. Its request may have run.
 	errMalformedResponse = errors.New("malformed response")
 )
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -33,19 +34,29 @@
 	return encoded.Bytes(), nil
 }
 
-// exchange writes a request with a single call to Write and reads its response. deadline applies to both. Cancelling
-// ctx interrupts both. stallTimeout is the maximum time of a single read after the response has started.
-func exchange(ctx context.Context, conn net.Conn, request []byte, deadline time.Time,
-	stallTimeout time.Duration) exchangeOutcome {
+// isNoResponse reports whether the exchange ended with bytes that are no response to its request.
+func (o exchangeOutcome) isNoResponse() bool {
+	return errors.Is(o.response.Err, errUnrequestedBytes) || errors.Is(o.response.Err, errEarlyBytes)
+}
+
+// exchangeLimits are the limits of time of an exchange.
+type exchangeLimits struct {
+	deadline     time.Time     // deadline of the whole exchange
+	stallTimeout time.Duration // maximum time of a single read after the response has started
+	notBefore    time.Time     // bytes that arrive earlier are no response
+}
+
+// exchange writes a request with a single call to Write and reads its response. Cancelling ctx interrupts both.
+func exchange(ctx context.Context, conn net.Conn, request []byte, limits exchangeLimits) exchangeOutcome {
 	// SetDeadline fails on a closed connection, where the write and the read fail as well.
-	_ = conn.SetDeadline(deadline)
+	_ = conn.SetDeadline(limits.deadline)
 	stopInterrupt := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(pastDeadline) })
 	defer stopInterrupt()
 	if n, err := conn.Write(request); n < len(request) {
 		return exchangeOutcome{response: Response{Err: err, EndedAt: time.Now()}}
 	}
 	buffer := getBuffer()
-	reader := &responseReader{conn: conn, ctx: ctx, buffer: buffer, deadline: deadline, stallTimeout: stallTimeout}
+	reader := &responseReader{conn: conn, ctx: ctx, buffer: buffer, limits: limits}
 	buffer.Reset(reader)
 	response, keepAlive := reader.readResponse()
 	response.EndedAt = time.Now()
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -218,7 +218,8 @@
 		syscall.EPIPE, syscall.ENETDOWN, syscall.ECONNABORTED} {
 		conn := failingConn{cause: cause}
 		deadline := time.Now().Add(testutil.Timeout)
-		outcome := exchange(context.Background(), conn, []byte("x"), deadline, testutil.Timeout)
+		outcome := exchange(context.Background(), conn, []byte("x"),
+			exchangeLimits{deadline: deadline, stallTimeout: testutil.Timeout})
 		if result := classify(outcome, false); result != balancer.Reset {
 			t.Errorf("%v: got result %d, want Reset", cause, result)
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -61,15 +61,15 @@
 }
 
 // takeIdle takes the most recently used connection to an endpoint that is still usable and has been idle for at least
-// reuseDelay. It returns nil if there is none.
-func (p *pool) takeIdle(endpointID string, reuseDelay time.Duration) *connection {
+// minIdle. It returns nil if there is none.
+func (p *pool) takeIdle(endpointID string, minIdle time.Duration) *connection {
 	p.mu.Lock()
 	defer p.unlockAndReport()
 	group := p.groups[endpointID]
 	if group == nil {
 		return nil
 	}
-	cutoff := time.Now().Add(-reuseDelay)
+	cutoff := time.Now().Add(-minIdle)
 	for conn := group.popNewest(cutoff); conn != nil; conn = group.popNewest(cutoff) {
 		reason := p.examineLocked(conn)
 		if reason == "" {
@@ -217,25 +217,26 @@
 // closeLocked closes a connection and decrements the counts of open connections, so it must be called exactly once for
 // each connection. The connection must not be in its group's idle list. The caller holds p.mu.
 func (p *pool) closeLocked(conn *connection, reason closeReason) {
-	_ = conn.netConn.Close() // no data is left to be written
-	p.decrementOpenLocked(conn.group)
 	if reason == closeUnrequestedBytes {
-		event := balancer.UnrequestedBytes{Endpoint: conn.endpointID(), Idle: conn.idleDuration()}
-		p.unreported = append(p.unreported, event)
+		p.recordUnrequestedBytesLocked(conn)
+	} else if p.log.Enabled(context.Background(), slog.LevelDebug) {
+		p.log.Debug(telemetry.MsgConnectionClosed, append(connectionAttrs(conn), "reason", string(reason))...)
 	}
-	p.logClose(conn, reason)
+	_ = conn.netConn.Close() // no data is left to be written
+	p.decrementOpenLocked(conn.group)
 }
 
-// logClose logs the close of a connection: at level WARN if the endpoint has sent bytes that belong to no request.
-func (p *pool) logClose(conn *connection, reason closeReason) {
-	if reason == closeUnrequestedBytes {
-		count := p.unrequestedBytes.Add(1)
-		p.log.Warn(telemetry.MsgUnrequestedBytes, append(connectionAttrs(conn), "count", count)...)
-		return
-	}
-	if p.log.Enabled(context.Background(), slog.LevelDebug) {
-		p.log.Debug(telemetry.MsgConnectionClosed, append(connectionAttrs(conn), "reason", string(reason))...)
+// recordUnrequestedBytesLocked logs that a connection has received bytes that belong to no request, and queues the
+// report of it. The caller holds p.mu.
+func (p *pool) recordUnrequestedBytesLocked(conn *connection) {
+	after := conn.idleDuration()
+	if elapsed, ok := socket.SinceReceived(conn.netConn); ok {
+		after = max(0, after-elapsed)
 	}
+	event := balancer.UnrequestedBytes{Endpoint: conn.endpointID(), After: after}
+	p.unreported = append(p.unreported, event)
+	count := p.unrequestedBytes.Add(1)
+	p.log.Warn(telemetry.MsgUnrequestedBytes, append(connectionAttrs(conn), "after", after, "count", count)...)
 }
 
 // connectionAttrs returns the attributes of a connection that is not in use.
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -23,11 +23,10 @@
 
 // responseReader reads one response from a connection, with limits on its time and size.
 type responseReader struct {
-	conn         net.Conn
-	ctx          context.Context // context of the attempt; cancelling it interrupts reads
-	buffer       *bufio.Reader   // reads through this responseReader
-	deadline     time.Time       // deadline of the whole response
-	stallTimeout time.Duration   // maximum time of one read after the response has started
+	conn   net.Conn
+	ctx    context.Context // context of the attempt; cancelling it interrupts reads
+	buffer *bufio.Reader   // reads through this responseReader
+	limits exchangeLimits
 
 	started        bool      // at least one byte of the current response was received
 	firstByteAt    time.Time // time of the first byte of the first response; zero: not received
@@ -46,7 +45,7 @@
 			return r.failedResponse(err), false
 		}
 		if head.isInformational() {
-			r.setReadDeadline(r.deadline) // the stall timeout does not apply until the next response starts
+			r.setReadDeadline(r.limits.deadline) // the stall timeout does not apply until the next response starts
 			continue
 		}
 		framing, err := head.parseFraming()
@@ -72,15 +71,15 @@
 		return 0, errors.New("response head or body exceeds its size limit")
 	}
 	if r.started {
-		r.setReadDeadline(time.Now().Add(r.stallTimeout))
+		r.setReadDeadline(time.Now().Add(r.limits.stallTimeout))
 	}
 	n, err := r.conn.Read(p[:min(len(p), r.bytesRemaining)])
 	r.bytesRemaining -= n
 	r.started = r.started || n > 0
 	if n > 0 && r.firstByteAt.IsZero() {
 		r.firstByteAt = time.Now()
-		if socket.HasUnacknowledged(r.conn) {
-			n, err = 0, errUnrequestedBytes
+		if noResponse := r.examineFirstBytes(); noResponse != nil {
+			n, err = 0, noResponse
 		}
 	}
 	if err != nil {
@@ -89,11 +88,22 @@
 	return n, err
 }
 
+// examineFirstBytes returns an error if the first bytes after the request are no response to it, or may be none.
+func (r *responseReader) examineFirstBytes() error {
+	switch {
+	case socket.HasUnacknowledged(r.conn):
+		return errUnrequestedBytes
+	case r.firstByteAt.Before(r.limits.notBefore):
+		return errEarlyBytes
+	}
+	return nil
+}
+
 // setReadDeadline sets the read deadline, bounded by the deadline of the response. If the attempt was cancelled, it
 // also sets pastDeadline again, which the new deadline may have overwritten.
 func (r *responseReader) setReadDeadline(at time.Time) {
-	if at.After(r.deadline) {
-		at = r.deadline
+	if at.After(r.limits.deadline) {
+		at = r.limits.deadline
 	}
 	_ = r.conn.SetReadDeadline(at) // fails on a closed connection, where the read fails as well
 	if r.ctx.Err() != nil {
@@ -113,5 +123,5 @@
 
 // isStalled reports whether the read failed by the stall timeout and not by the deadline or a cancellation.
 func (r *responseReader) isStalled() bool {
-	return r.started && socket.IsTimeout(r.connErr) && time.Now().Before(r.deadline) && r.ctx.Err() == nil
+	return r.started && socket.IsTimeout(r.connErr) && time.Now().Before(r.limits.deadline) && r.ctx.Err() == nil
 }
--- a/internal/upstream/sweep.go
+++ b/internal/upstream/sweep.go
@@ -1,15 +1,15 @@
 package upstream
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// firstExamination is the idle time after which a sweep first examines a connection.
 	firstExamination = 100 * time.Millisecond
 	// examinationFactor is the idle time at an examination as a multiple of that at the previous one.
 	examinationFactor = 2
+	// excessIdleTimeout is the idle time after which a connection is closed if another one to its endpoint became idle
+	// later. Each open connection takes capacity from its endpoint.
+	excessIdleTimeout = 800 * time.Millisecond
 	// minSweepInterval is the minimum time between two sweeps.
 	minSweepInterval = 50 * time.Millisecond
 )
@@ -39,16 +39,12 @@
 	now := time.Now()
 	var next time.Time // time of the next examination; zero: none
 	for _, group := range p.groups {
-		group.idle = slices.DeleteFunc(group.idle, func(conn *connection) bool {
-			if reason := p.sweepConnectionLocked(conn, now); reason != "" {
-				p.closeLocked(conn, reason)
-				return true
-			}
+		p.sweepGroupLocked(group, now)
+		for _, conn := range group.idle {
 			if next.IsZero() || conn.examineAt.Before(next) {
 				next = conn.examineAt
 			}
-			return false
-		})
+		}
 	}
 	if earliest := now.Add(minSweepInterval); !next.IsZero() {
 		if next.Before(earliest) {
@@ -58,6 +54,25 @@
 	}
 }
 
+// sweepGroupLocked examines the idle connections of a group that are due. The caller holds p.mu.
+func (p *pool) sweepGroupLocked(group *endpointGroup, now time.Time) {
+	kept := group.idle[:0]
+	for i, conn := range group.idle {
+		isExcess := i < len(group.idle)-1 && now.Sub(conn.idleSince) >= excessIdleTimeout
+		reason := closeExcess
+		if !isExcess {
+			reason = p.sweepConnectionLocked(conn, now)
+		}
+		if reason != "" {
+			p.closeLocked(conn, reason)
+			continue
+		}
+		kept = append(kept, conn)
+	}
+	clear(group.idle[len(kept):]) // drops the references to the closed connections
+	group.idle = kept
+}
+
 // sweepConnectionLocked examines an idle connection if that is due and sets the time of its next examination. It
 // returns the reason for which the connection must be closed, or "". The caller holds p.mu.
 func (p *pool) sweepConnectionLocked(conn *connection, now time.Time) closeReason {
--- a/internal/upstream/unrequested_test.go
+++ b/internal/upstream/unrequested_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"ashshunt/balancer"
 	"ashshunt/internal/testutil"
@@ -85,3 +87,90 @@
 	})
 	return readable
 }
+
+// A response that comes within the late window after the last one on its connection proves nothing, whatever it says.
+// It may be a second response to the earlier request.
+func TestResponseWithinLateWindowIsNoResponse(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		respond handler
+	}{
+		{"served", testutil.Echo},
+		{"rejected", respondRejected(http.StatusServiceUnavailable)},
+		{"failed", respond(http.StatusInternalServerError, "")},
+		{"malformed", respondRaw("noise")},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			isFirst := true
+			server := testutil.NewServer(t, func(conn net.Conn, request *http.Request, body []byte) bool {
+				if isFirst {
+					isFirst = false
+					return testutil.Echo(conn, request, body)
+				}
+				return tt.respond(conn, request, body)
+			})
+			client := newTestClient(t, server.Addr())
+			options := newOptions(testutil.Timeout)
+			options.Reuse.LateWindow = time.Hour
+			if result, _ := client.Attempt(t.Context(), newUnsafeRequest(), "s0", options); result != balancer.Served {
+				t.Fatalf("new connection: got result %v, want served", result)
+			}
+			result, response := client.Attempt(t.Context(), newUnsafeRequest(), "s0", options)
+			if result != balancer.Reset || !errors.Is(response.Err, errEarlyBytes) {
+				t.Errorf("reused connection: got result %v, error %v, want a reset with errEarlyBytes",
+					result, response.Err)
+			}
+			if open := client.OpenConnections(); open != 0 {
+				t.Errorf("got %d open connections, want 0", open)
+			}
+		})
+	}
+}
+
+// A connection must not be reused before its minimum idle time.
+func TestMinIdle(t *testing.T) {
+	server := testutil.NewServer(t, testutil.Echo)
+	client, options := newTestClient(t, server.Addr()), newOptions(testutil.Timeout)
+	options.Reuse.MinIdle = time.Hour
+	connections := map[string]bool{}
+	for range 3 {
+		if result, _ := client.Attempt(t.Context(), newUnsafeRequest(), "s0", options); result != balancer.Served {
+			t.Fatalf("got result %v, want served", result)
+		}
+		connections[testutil.Receive(t, server.Received).RemoteAddr] = true
+	}
+	if len(connections) != 3 {
+		t.Errorf("got %d connections for 3 requests, want a new one for each", len(connections))
+	}
+	client.mustServe(t)
+	if connection := testutil.Receive(t, server.Received).RemoteAddr; !connections[connection] {
+		t.Error("got a new connection without a minimum idle time, want an existing one")
+	}
+}
+
+// The pool must find unrequested bytes on an idle connection without a further request, and report when they came.
+func TestUnrequestedBytesAreReported(t *testing.T) {
+	const pause = 30 * time.Millisecond
+	server := testutil.NewServer(t, testutil.Echo)
+	client := newTestClient(t, server.Addr())
+	reports := make(chan balancer.UnrequestedBytes, 1)
+	client.pool.onUnrequestedBytes = func(report balancer.UnrequestedBytes) { reports <- report }
+	startedAt := time.Now()
+	client.mustServe(t)
+	request := testutil.Receive(t, server.Received)
+	time.Sleep(pause)
+	server.WriteTo(t, request.RemoteAddr, rejection)
+	const systemTick = 10 * time.Millisecond // the maximum that Linux may be configured with
+	minAfter, maxAfter := pause-systemTick, time.Since(startedAt)+systemTick
+	report := testutil.Receive(t, reports)
+	if report.Endpoint != "s0" || report.After < minAfter || report.After > maxAfter {
+		t.Errorf("got report %+v, want s0 and %v to %v", report, minAfter, maxAfter)
+	}
+	testutil.WaitFor(t, "the close", func() bool { return client.OpenConnections() == 0 })
+}
+
+// An idle connection must be closed if its endpoint has another one that was used later.
+func TestExcessIdleConnections(t *testing.T) {
+	client, _ := newClientWithTwoIdle(t, testutil.Echo)
+	testutil.WaitFor(t, "the close of one connection", func() bool { return client.OpenConnections() == 1 })
+}
