Close the connection of a request that was not served, and doubt a rejection with bytes behind it

Cause: a 503 or 500 that was not the response to its request ended the attempt for the agent, which sent the request again, while the endpoint still worked on the first attempt on a connection that counted as free. And a rejection proved that the request never ran even where another response stood right behind it.

Fix: only a 200 leaves a connection for reuse. The close ends an attempt for its endpoint before the next one is sent, so that two can't be in flight whatever the response was. A rejection followed by more bytes counts as an error that may have run. Bytes right behind a response are logged, counted and reported like those on idle connections.

Both tests fail without the fix: one open connection after 503, 500, 404 and 201; a rejection with a 200 behind it ended as a rejection. The module already counted a connection as lost after a rejection, so its picks do not change.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -187,6 +187,9 @@
 	switch {
 	case outcome.reusable:
 		c.pool.release(conn)
+	case outcome.isFollowed:
+		conn.idleSince = outcome.response.EndedAt
+		c.pool.close(conn, closeUnrequestedBytes)
 	case errors.Is(outcome.response.Err, errUnrequestedBytes):
 		c.pool.close(conn, closeUnrequestedBytes)
 	case errors.Is(outcome.response.Err, errEarlyBytes):
@@ -197,13 +200,14 @@
 }
 
 // classify returns the result that the protocol defines for the outcome of an exchange. If it is unknown whether the
-// request ran, the result says that it may have run.
+// request ran, the result says that it may have run. A rejection that is followed by more bytes proves nothing: either
+// of the two may be the response.
 func classify(outcome exchangeOutcome, cancelled bool) balancer.Result {
 	response := outcome.response
 	switch {
 	case response.Err == nil && response.Status == http.StatusOK:
 		return balancer.Served
-	case response.Err == nil && response.isRejected():
+	case response.Err == nil && response.isRejected() && !outcome.isFollowed:
 		return balancer.Rejected
 	case response.Err == nil || errors.Is(response.Err, errMalformedResponse):
 		return balancer.ServerError
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -15,7 +15,7 @@
 	group         *endpointGroup
 	entry         endpoint.Entry // table entry of the endpoint at the time of the dial
 	exchangeCount int            // number of requests that were sent on it
-	idleSince     time.Time      // time of the last release, zero before the first one; written under pool.mu
+	idleSince     time.Time      // time of the last response or release, zero before the first
 	examineAt     time.Time      // time of the next examination while it is idle; protected by pool.mu
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"ashshunt/internal/socket"
 )
 
 // responseBufferSize is the size in bytes of the read buffer of an exchange.
@@ -22,6 +24,7 @@
 	response       Response
 	requestWritten bool      // the request was written completely
 	reusable       bool      // the connection may be used for another request
+	isFollowed     bool      // further bytes came right behind the response
 	firstByteAt    time.Time // time of the first byte of the response; zero: there is none
 }
 
@@ -60,14 +63,18 @@
 	buffer.Reset(reader)
 	response, keepAlive := reader.readResponse()
 	response.EndedAt = time.Now()
-	hasUnreadBytes := buffer.Buffered() > 0 // they would be read as the response to the next request
+	isFollowed := buffer.Buffered() > 0 || socket.Peek(conn) == socket.Readable
 	putBuffer(buffer)
+	// A request that was not served may be sent again. Its connection is closed before that: if the response was not
+	// its own, the request still runs.
+	keepAlive = keepAlive && response.Status == http.StatusOK
 	return exchangeOutcome{
 		response:       response,
 		requestWritten: true,
 		firstByteAt:    reader.firstByteAt,
+		isFollowed:     response.Err == nil && isFollowed,
 		// stopInterrupt returns false if ctx was cancelled. pastDeadline may then be set on the connection at any time.
-		reusable: keepAlive && !hasUnreadBytes && stopInterrupt(),
+		reusable: keepAlive && !isFollowed && stopInterrupt(),
 	}
 }
 
--- a/internal/upstream/unrequested_test.go
+++ b/internal/upstream/unrequested_test.go
@@ -174,3 +174,30 @@
 	client, _ := newClientWithTwoIdle(t, testutil.Echo)
 	testutil.WaitFor(t, "the close of one connection", func() bool { return client.OpenConnections() == 1 })
 }
+
+// A rejection that is followed by another response does not prove that the request has not run: the second response may
+// be its own.
+func TestRejectionFollowedByResponseIsNoRejection(t *testing.T) {
+	server := testutil.NewServer(t, respondRaw(rejection+"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ndid x"))
+	client := newTestClient(t, server.Addr())
+	if result, _ := client.attempt(testutil.Timeout); result != balancer.ServerError {
+		t.Errorf("got result %v, want a server error, which may have run", result)
+	}
+	if totals := client.Totals(); totals.UnrequestedBytes != 1 {
+		t.Errorf("got totals %+v, want unrequested bytes once", totals)
+	}
+}
+
+// The connection of a request that was not served must be closed: if the response was not its own, the request still
+// runs there while it is sent again.
+func TestUnservedRequestClosesConnection(t *testing.T) {
+	for _, status := range []int{
+		http.StatusServiceUnavailable, http.StatusInternalServerError, http.StatusNotFound, http.StatusCreated,
+	} {
+		client := newTestClient(t, testutil.NewServer(t, respondRejected(status)).Addr())
+		client.attempt(testutil.Timeout)
+		if open := client.OpenConnections(); open != 0 {
+			t.Errorf("status %d: got %d open connections, want 0", status, open)
+		}
+	}
+}
