Play a faulty network and stalls of the agent in the soak

Even seeds put a FaultProxy between the agent and its endpoints and between the agent and discovery, and stop the agent for up to 150 ms: second copies and second rejections up to 60 ms late, rejections before and behind a response, noise (also on new connections), 1xx, delayed, split, withheld, truncated, reset, closed and half-sent responses; delayed, split, repeated and cut off lists. The soak's rules stay as they are.

Not in the mix: a whole response on a new connection, before or shortly after the request, and a rejection in place of a response that ran, since nothing tells them from true ones; bytes behind a response without a length are part of its body.

--- a/cmd/ashshunt/soak_discovery_test.go
+++ b/cmd/ashshunt/soak_discovery_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"testing"
 	"time"
 )
 
@@ -49,6 +50,7 @@
 
 // soakDiscovery is a fake discovery service with two addresses, one of which is in use.
 type soakDiscovery struct {
+	t     *testing.T
 	addrs [2]string
 
 	mu              sync.Mutex // protects the fields below
@@ -60,13 +62,22 @@
 }
 
 func newSoakDiscovery(s *soak) *soakDiscovery {
-	d := &soakDiscovery{watches: map[*soakWatch]bool{}, drainNotifiedAt: map[string]time.Time{}}
+	d := &soakDiscovery{t: s.t, watches: map[*soakWatch]bool{}, drainNotifiedAt: map[string]time.Time{}}
 	for i := range d.addrs {
 		d.addrs[i] = serveHTTP(s.t, func(w http.ResponseWriter, r *http.Request) { d.serveWatch(w, r, i) })
 	}
 	return d
 }
 
+// setNetwork puts a network between the agent and both addresses.
+func (d *soakDiscovery) setNetwork(network soakNetwork) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, addr := range d.addrs {
+		d.addrs[i] = network.connect(d.t, addr)
+	}
+}
+
 func (d *soakDiscovery) currentAddr() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/cmd/ashshunt/soak_network_test.go
+++ b/cmd/ashshunt/soak_network_test.go
@@ -1,24 +1,169 @@
 package main
 
 import (
+	"bytes"
+	"syscall"
 	"testing"
 	"time"
 
 	"ashshunt/internal/testutil"
 )
 
-// soakNetwork is the network between the agent and the endpoints.
+// soakNetwork is the network between the agent and the endpoints, or between the agent and discovery.
 type soakNetwork struct {
 	latency time.Duration // in each direction
 	faults  testutil.ProxyFaults
 }
 
-// connect returns the address at which the agent reaches an endpoint: that of the endpoint itself, or that of a proxy
-// in front of it if the network has latency or faults.
-func (n soakNetwork) connect(t *testing.T, endpointAddr string) string {
+// connect returns the address at which the agent reaches a server: that of the server itself, or that of a proxy in
+// front of it if the network has latency or faults.
+func (n soakNetwork) connect(t *testing.T, serverAddr string) string {
 	t.Helper()
-	if n.latency == 0 && n.faults.OnConnect == nil && n.faults.OnResponse == nil {
-		return endpointAddr
+	if n.latency == 0 && n.faults.OnConnect == nil && n.faults.OnResponse == nil && n.faults.OnData == nil {
+		return serverAddr
 	}
-	return testutil.NewFaultProxy(t, endpointAddr, n.latency, n.faults).Addr()
+	return testutil.NewFaultProxy(t, serverAddr, n.latency, n.faults).Addr()
+}
+
+const (
+	// networkFaultProbability is the probability that a faulty network changes a response or a piece of a list.
+	networkFaultProbability = 0.15
+	// maxSecondResponseDelay is the maximum time between a response and a second one.
+	maxSecondResponseDelay = 60 * time.Millisecond
+	// maxStall is the maximum time for which the agent is stopped.
+	maxStall = 150 * time.Millisecond
+)
+
+// responseFault changes a response on its way to the agent.
+type responseFault func(s *soak, response []byte) []testutil.Segment
+
+// responseFaults are the faults of the network between the agent and the endpoints. None of them gives the agent a
+// well-formed response that it can't tell from that of its request, other than after the late window.
+var responseFaults = []responseFault{
+	secondCopy, secondRejection, rejectionBehind, rejectionBefore, noiseBehind, informationalBefore, delayed, split,
+	withheld, truncated, resetInstead, closedInstead, silentHalfWay,
+}
+
+func secondCopy(s *soak, response []byte) []testutil.Segment {
+	return []testutil.Segment{{Data: response}, s.lateSegment(response)}
+}
+
+func secondRejection(s *soak, response []byte) []testutil.Segment {
+	return []testutil.Segment{{Data: response}, s.lateSegment([]byte(unrequestedRejected))}
+}
+
+// lateSegment returns a segment that follows a response by up to maxSecondResponseDelay.
+func (s *soak) lateSegment(data []byte) testutil.Segment {
+	delay := s.rng.drawDuration(0, maxSecondResponseDelay)
+	return testutil.Segment{Delay: delay, MaxDelay: delay + unrequestedMaxOverrun, Data: data}
+}
+
+func rejectionBehind(_ *soak, response []byte) []testutil.Segment {
+	return []testutil.Segment{{Data: appendBehind(response, unrequestedRejected)}}
+}
+
+// appendBehind appends text to a response. A response without a length stays as it is, since all bytes until the close
+// are its body.
+func appendBehind(response []byte, text string) []byte {
+	if !bytes.Contains(response, []byte("Content-Length")) {
+		return response
+	}
+	return append(response, text...)
+}
+
+func rejectionBefore(_ *soak, response []byte) []testutil.Segment {
+	return []testutil.Segment{{Data: append([]byte(unrequestedRejected), response...)}}
+}
+
+func noiseBehind(_ *soak, response []byte) []testutil.Segment {
+	return []testutil.Segment{{Data: appendBehind(response, "noise")}}
+}
+
+func informationalBefore(_ *soak, response []byte) []testutil.Segment {
+	return []testutil.Segment{{Data: []byte("HTTP/1.1 103 Early Hints\r\n\r\n")}, {Data: response}}
+}
+
+func delayed(s *soak, response []byte) []testutil.Segment {
+	return []testutil.Segment{{Delay: s.rng.drawDuration(0, 100*time.Millisecond), Data: response}}
+}
+
+func split(s *soak, response []byte) []testutil.Segment {
+	at := s.rng.drawInt(len(response))
+	pause := s.rng.drawDuration(0, 30*time.Millisecond)
+	return []testutil.Segment{{Data: response[:at]}, {Delay: pause, Data: response[at:]}}
+}
+
+func withheld(*soak, []byte) []testutil.Segment { return nil }
+
+func truncated(s *soak, response []byte) []testutil.Segment {
+	return []testutil.Segment{{Data: response[:s.rng.drawInt(len(response))], End: testutil.EndHalfClose}}
+}
+
+func resetInstead(*soak, []byte) []testutil.Segment {
+	return []testutil.Segment{{End: testutil.EndReset}}
+}
+
+func closedInstead(*soak, []byte) []testutil.Segment {
+	return []testutil.Segment{{End: testutil.EndHalfClose}}
+}
+
+func silentHalfWay(s *soak, response []byte) []testutil.Segment {
+	return []testutil.Segment{{Data: response[:s.rng.drawInt(len(response))], End: testutil.EndBlackHole}}
+}
+
+// newFaultyNetwork returns a network between the agent and the endpoints that sometimes changes a response, and
+// sometimes sends noise on a new connection.
+func (s *soak) newFaultyNetwork() soakNetwork {
+	return soakNetwork{
+		latency: s.rng.drawDuration(0, 5*time.Millisecond),
+		faults: testutil.ProxyFaults{
+			OnConnect: func() []testutil.Segment {
+				if !s.rng.drawBool(0.02) {
+					return nil
+				}
+				delay := s.rng.drawDuration(0, 20*time.Millisecond)
+				return []testutil.Segment{{Delay: delay, Data: []byte("noise")}}
+			},
+			OnResponse: func(response []byte) []testutil.Segment {
+				if s.rng.drawBool(networkFaultProbability) {
+					return responseFaults[s.rng.drawInt(len(responseFaults))](s, response)
+				}
+				return []testutil.Segment{{Data: response}}
+			},
+		},
+	}
+}
+
+// newFaultyDiscoveryNetwork returns a network between the agent and discovery that sometimes delays, splits, repeats or
+// cuts off what discovery sends. All delays are far below the grace period of drains.
+func (s *soak) newFaultyDiscoveryNetwork() soakNetwork {
+	return soakNetwork{faults: testutil.ProxyFaults{OnData: func(data []byte) []testutil.Segment {
+		if !s.rng.drawBool(networkFaultProbability) {
+			return []testutil.Segment{{Data: data}}
+		}
+		at, pause := s.rng.drawInt(len(data)), s.rng.drawDuration(0, 300*time.Millisecond)
+		switch s.rng.drawInt(4) {
+		case 0:
+			return []testutil.Segment{{Delay: pause, Data: data}}
+		case 1:
+			return []testutil.Segment{{Data: data[:at]}, {Delay: pause, Data: data[at:]}}
+		case 2:
+			return []testutil.Segment{{Data: data}, {Data: data}}
+		default:
+			return []testutil.Segment{{Data: data[:at], End: testutil.EndReset}}
+		}
+	}}}
+}
+
+// stallAgent stops the running agent for up to maxStall.
+func (s *soak) stallAgent() {
+	s.mu.Lock()
+	process := s.process
+	s.mu.Unlock()
+	if process == nil {
+		return
+	}
+	_ = process.Signal(syscall.SIGSTOP) // fails if the process has exited
+	time.Sleep(s.rng.drawDuration(10*time.Millisecond, maxStall))
+	_ = process.Signal(syscall.SIGCONT)
 }
--- a/cmd/ashshunt/soak_test.go
+++ b/cmd/ashshunt/soak_test.go
@@ -82,14 +82,16 @@
 	file        configFile
 	verifier    *soakVerifier
 	discovery   *soakDiscovery
-	network     soakNetwork
+	network     soakNetwork     // between the agent and the endpoints
+	stallsAgent bool            // the agent is sometimes stopped for a short time
 	endpoints   []*soakEndpoint // used only by the goroutine of runFaults after its start
 	stopped     chan struct{}   // closed at the end of the run
 
 	minServiceTime, maxServiceTime time.Duration // service time of an endpoint without faults
 
-	mu         sync.Mutex // protects the fields below
-	mayConnect bool       // clients may open connections
+	mu         sync.Mutex  // protects the fields below
+	mayConnect bool        // clients may open connections
+	process    *os.Process // the running agent; nil: none
 }
 
 func newSoak(t *testing.T, seed int) *soak {
@@ -118,6 +120,11 @@
 	}
 	s.verifier = newSoakVerifier(t, s.classes, os.Getenv(soakStrictEnvVar) != "")
 	s.discovery = newSoakDiscovery(s)
+	if seed%2 == 0 {
+		s.network = s.newFaultyNetwork()
+		s.discovery.setNetwork(s.newFaultyDiscoveryNetwork())
+		s.stallsAgent = true
+	}
 	s.listen = freeAddr(t, seed)
 	return s
 }
@@ -174,6 +181,13 @@
 	s.mayConnect = may
 }
 
+// setProcess sets the process that stallAgent stops.
+func (s *soak) setProcess(process *os.Process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.process = process
+}
+
 func (s *soak) clientsMayConnect() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -209,6 +223,7 @@
 	process := startAgent(s.t, s.file)
 	process.waitForAddr(s.t)
 	logEnded := s.recordInternalErrors(process)
+	s.setProcess(process.Process)
 	s.setMayConnect(true)
 
 	time.Sleep(s.rng.drawDuration(1200*time.Millisecond, 2*time.Second))
@@ -219,6 +234,7 @@
 
 	s.stopAgent(process)
 	<-logEnded
+	s.setProcess(nil)
 	s.waitForExit(process, incarnation)
 }
 
@@ -306,9 +322,13 @@
 	}
 }
 
-// injectFault either breaks all watches, or drains the oldest endpoint and adds one with newID, or makes an endpoint
-// fail.
+// injectFault either stops the agent for a short time, or breaks all watches, or drains the oldest endpoint and adds
+// one with newID, or makes an endpoint fail.
 func (s *soak) injectFault(newID string) {
+	if s.stallsAgent && s.rng.drawBool(0.3) {
+		s.stallAgent()
+		return
+	}
 	serving := s.endpoints[len(s.endpoints)-soakEndpoints:]
 	endpoint := serving[s.rng.drawInt(len(serving))]
 	if s.rng.drawBool(0.15) {
--- a/internal/testutil/faultproxy.go
+++ b/internal/testutil/faultproxy.go
@@ -40,6 +40,8 @@
 	// OnResponse returns the segments to send for a complete response of the server. Without it, bytes are forwarded as
 	// they arrive.
 	OnResponse func(response []byte) []Segment
+	// OnData returns the segments to send for bytes of the server, as they arrive. It is not used with OnResponse.
+	OnData func(data []byte) []Segment
 	// OnRequestData returns the parts in which bytes from the client are written to the server.
 	OnRequestData func(data []byte) [][]byte
 }
@@ -146,10 +148,13 @@
 }
 
 func (p *FaultProxy) responseSegments(data []byte) []Segment {
-	if p.faults.OnResponse == nil {
-		return []Segment{{Data: data}}
+	switch {
+	case p.faults.OnResponse != nil:
+		return p.faults.OnResponse(data)
+	case p.faults.OnData != nil:
+		return p.faults.OnData(data)
 	}
-	return p.faults.OnResponse(data)
+	return []Segment{{Data: data}}
 }
 
 // readUnit reads one complete response, or, without OnResponse, the bytes that are available. data may be incomplete if
