--- a/internal/endpoint/list_test.go
+++ b/internal/endpoint/list_test.go
@@ -55,7 +55,8 @@
 		"unknown state": `{"version":2,"servers":[` + strings.Replace(good, "SERVING", "ASLEEP", 1) + `]}`,
 		"invalid address": `{"version":2,"servers":[` + good + `,` +
 			testutil.EntryJSON("s1", "here", "DRAINING") + `]}`,
-		"invalid type": `{"version":2,"servers":{}}`,
+		"invalid type":    `{"version":2,"servers":{}}`,
+		"a second object": `{"version":2,"servers":[` + good + `]}{"version":3,"servers":[]}`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			if list, err := endpoint.ParseList([]byte(text)); !errors.Is(err, endpoint.ErrMalformedList) {
