Judge early bytes by their arrival, and learn from when unrequested bytes came at the earliest

Evidence: TestResponseReadAfterStallIsNoResponse is served without the fix, reset with it.

The look before the write is now made on new connections only, since an idle one was examined when it was taken.

--- a/balancer/connectionreuse.go
+++ b/balancer/connectionreuse.go
@@ -51,7 +51,7 @@
 
 // recordUnrequestedBytes records that unrequested bytes came some time after the last response.
 func (c *connectionReuse) recordUnrequestedBytes(now, after time.Duration) {
-	if after > c.lateWindow(now) {
+	if after >= c.lateWindow(now) {
 		c.window = time.Duration(lateWindowMultiple * float64(after))
 		c.updatedAt = now
 	}
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -162,7 +162,7 @@
 // UnrequestedBytes reports that an endpoint has sent bytes that belong to no request. The connection is closed.
 type UnrequestedBytes struct {
 	Endpoint string
-	After    time.Duration // time from the last response on the connection to the bytes, at most
+	After    time.Duration // time from the last response on the connection to the bytes, at least half of it
 }
 
 // GossipMessage is a message from another agent.
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -102,21 +102,24 @@
 	return err == nil && unacknowledged > 0
 }
 
-// SinceReceived returns the time since the last bytes were received on a connection, in whole milliseconds. ok is false
-// if that is unknown.
-func SinceReceived(conn net.Conn) (elapsed time.Duration, ok bool) {
+// maxTick is the maximum resolution of the system's clock of received bytes.
+const maxTick = 10 * time.Millisecond
+
+// SinceReceived returns how long ago at least the last bytes were received on a connection. It is less than the real
+// time by up to two ticks of the system, and 0 if the time is unknown.
+func SinceReceived(conn net.Conn) time.Duration {
 	raw, err := rawConn(conn)
 	if err != nil {
-		return 0, false
+		return 0
 	}
 	var info *unix.TCPInfo
 	controlErr := raw.Control(func(fd uintptr) {
 		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
 	if err != nil || controlErr != nil {
-		return 0, false
+		return 0
 	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+	return max(0, time.Duration(info.Last_data_recv)*time.Millisecond-maxTick)
 }
 
 // rawConn returns the raw connection of a socket. The error wraps errors.ErrUnsupported if conn is not a socket.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -159,7 +159,8 @@
 		c.logUnsent(label, balancer.NotSent, err)
 		return balancer.NotSent, unsentResponse(err)
 	}
-	if socket.Peek(conn.netConn) == socket.Readable {
+	// An idle connection was examined when it was taken.
+	if conn.exchangeCount == 0 && socket.Peek(conn.netConn) == socket.Readable {
 		c.pool.close(conn, closeUnrequestedBytes)
 		c.logUnsent(label, balancer.ConnectFailed, errUnrequestedBytes)
 		return balancer.ConnectFailed, unsentResponse(errUnrequestedBytes)
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -16,6 +16,7 @@
 	entry         endpoint.Entry // table entry of the endpoint at the time of the dial
 	exchangeCount int            // number of requests that were sent on it
 	idleSince     time.Time      // time of the last response or release, zero before the first
+	examinedAt    time.Time      // latest time at which no bytes had arrived since idleSince; protected by pool.mu
 	examineAt     time.Time      // time of the next examination while it is idle; protected by pool.mu
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -63,11 +63,12 @@
 	buffer.Reset(reader)
 	response, keepAlive := reader.readResponse()
 	response.EndedAt = time.Now()
-	isFollowed := buffer.Buffered() > 0 || socket.Peek(conn) == socket.Readable
+	isServed := response.Status == http.StatusOK
+	isFollowed := buffer.Buffered() > 0 || !isServed && socket.Peek(conn) == socket.Readable
 	putBuffer(buffer)
 	// A request that was not served may be sent again. Its connection is closed before that: if the response was not
 	// its own, the request still runs.
-	keepAlive = keepAlive && response.Status == http.StatusOK
+	keepAlive = keepAlive && isServed
 	return exchangeOutcome{
 		response:       response,
 		requestWritten: true,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -93,6 +93,7 @@
 	case time.Since(conn.idleSince) >= p.idleTimeout:
 		return closeIdleTimeout
 	}
+	conn.examinedAt = time.Now()
 	return ""
 }
 
@@ -178,6 +179,7 @@
 	}
 	_ = conn.netConn.SetDeadline(time.Time{}) // fails on a closed connection, which takeIdle will detect
 	conn.idleSince = time.Now()
+	conn.examinedAt = conn.idleSince
 	conn.examineAt = conn.idleSince.Add(p.firstExamination())
 	conn.group.idle = append(conn.group.idle, conn)
 	p.scheduleSweepLocked(conn.examineAt)
@@ -229,10 +231,11 @@
 // recordUnrequestedBytesLocked logs that a connection has received bytes that belong to no request, and queues the
 // report of it. The caller holds p.mu.
 func (p *pool) recordUnrequestedBytesLocked(conn *connection) {
-	after := conn.idleDuration()
-	if elapsed, ok := socket.SinceReceived(conn.netConn); ok {
-		after = max(0, after-elapsed)
+	after := conn.examinedAt.Sub(conn.idleSince)
+	if elapsed := socket.SinceReceived(conn.netConn); elapsed > 0 {
+		after = max(after, conn.idleDuration()-elapsed)
 	}
+	after = max(0, after) // the bytes may have come with the response
 	event := balancer.UnrequestedBytes{Endpoint: conn.endpointID(), After: after}
 	p.unreported = append(p.unreported, event)
 	count := p.unrequestedBytes.Add(1)
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -93,12 +93,17 @@
 	switch {
 	case socket.HasUnacknowledged(r.conn):
 		return errUnrequestedBytes
-	case r.firstByteAt.Before(r.limits.notBefore):
+	case !r.limits.notBefore.IsZero() && r.arrivedAt().Before(r.limits.notBefore):
 		return errEarlyBytes
 	}
 	return nil
 }
 
+// arrivedAt returns the time at which the first bytes arrived. The process may have been stopped before it read them.
+func (r *responseReader) arrivedAt() time.Time {
+	return r.firstByteAt.Add(-socket.SinceReceived(r.conn))
+}
+
 // setReadDeadline sets the read deadline, bounded by the deadline of the response. If the attempt was cancelled, it
 // also sets pastDeadline again, which the new deadline may have overwritten.
 func (r *responseReader) setReadDeadline(at time.Time) {
--- a/internal/upstream/sweep.go
+++ b/internal/upstream/sweep.go
@@ -4,7 +4,7 @@
 
 const (
 	// firstExamination is the idle time after which a sweep first examines a connection.
-	firstExamination = 100 * time.Millisecond
+	firstExamination = 80 * time.Millisecond
 	// examinationFactor is the idle time at an examination as a multiple of that at the previous one.
 	examinationFactor = 2
 	// excessIdleTimeout is the idle time after which a connection is closed if another one to its endpoint became idle
