--- a/cmd/ashshunt/soak_verify_test.go
+++ b/cmd/ashshunt/soak_verify_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"regexp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -53,12 +54,69 @@
 		v.verifyResponse(r)
 		v.verifyAttempts(r)
 	}
+	for _, r := range v.incomplete {
+		v.verifyIncompleteLocked(r)
+	}
+	if v.strict {
+		v.verifyFinalAnswersLocked()
+	}
 	v.t.Logf("%d requests by status: %v", len(v.requests), statuses)
 	if len(v.requests) == 0 || statuses[http.StatusOK] == 0 {
 		v.t.Error("got no served requests, want some")
 	}
 }
 
+// verifyIncompleteLocked verifies that the client of an incomplete request got its error, or the end of its connection,
+// within maxIncompleteDuration of the time for which the agent's process was not stopped. The caller holds the mutex.
+func (v *soakVerifier) verifyIncompleteLocked(r incompleteRequest) {
+	elapsed, stalled := r.endedAt.Sub(r.startedAt), v.stalledLocked(r.startedAt, r.endedAt)
+	if elapsed-stalled > maxIncompleteDuration+v.slack {
+		v.recordViolationLocked(ruleIncomplete,
+			fmt.Sprintf("%q: closed after %v, of which the agent was stopped for %v", r.text, elapsed, stalled))
+	}
+}
+
+// verifyFinalAnswersLocked verifies that each line of the log that reports a missing final answer was written at the
+// end of a stall. The caller holds the mutex.
+func (v *soakVerifier) verifyFinalAnswersLocked() {
+	for _, line := range v.unanswered {
+		text, _, _ := strings.Cut(strings.TrimPrefix(line, "time="), " ")
+		at, err := time.Parse(time.RFC3339, text)
+		sinceStall := v.sinceStallLocked(at)
+		if err != nil || sinceStall > stallEffect {
+			v.recordViolationLocked(ruleLog, fmt.Sprintf("%s: %v after the end of a stall", line, sinceStall))
+		}
+	}
+}
+
+// sinceStallLocked returns the time since the end of the last stall that started before at; it is negative during a
+// stall. The caller holds the mutex.
+func (v *soakVerifier) sinceStallLocked(at time.Time) time.Duration {
+	since := time.Hour
+	for _, s := range v.stalls {
+		if !s.startedAt.After(at.Add(time.Millisecond)) { // the log has milliseconds
+			since = min(since, at.Sub(s.endedAt))
+		}
+	}
+	return since
+}
+
+// stalledLocked returns how long the agent's process was stopped within an interval. The caller holds the mutex.
+func (v *soakVerifier) stalledLocked(from, to time.Time) time.Duration {
+	total := time.Duration(0)
+	for _, s := range v.stalls {
+		start, end := s.startedAt, s.endedAt
+		if start.Before(from) {
+			start = from
+		}
+		if end.After(to) {
+			end = to
+		}
+		total += max(0, end.Sub(start))
+	}
+	return total
+}
+
 // verifyResponse verifies that a request got its response. The agent may close a reused connection while the next
 // request is in transit, but not after it has read the request. A forwarded request has been read.
 func (v *soakVerifier) verifyResponse(r *soakRequest) {
--- a/internal/testutil/faultproxy.go
+++ b/internal/testutil/faultproxy.go
@@ -133,7 +133,8 @@
 			toClient.addAll(time.Now().Add(p.latency), p.responseSegments(data))
 		}
 		if err != nil {
-			toClient.add(time.Now().Add(p.latency), Segment{End: endOf(err)})
+			toClient.waitUntilSent()
+			toClient.add(time.Now(), Segment{End: endOf(err)})
 			return
 		}
 	}
@@ -189,6 +190,7 @@
 
 	mu       sync.Mutex
 	pending  []timedSegment // by at
+	unsent   int            // number of segments that are neither sent nor dropped, those after pending ones included
 	isClosed bool
 }
 
@@ -209,10 +211,30 @@
 // addAll adds segments of one response. The delay of each starts when the one before it is sent.
 func (l *delayLine) addAll(at time.Time, segments []Segment) {
 	if len(segments) > 0 {
+		l.countUnsent(len(segments))
 		l.insert(newTimedSegment(at, segments))
 	}
 }
 
+func (l *delayLine) countUnsent(change int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unsent += change
+}
+
+// waitUntilSent blocks until all segments are sent or dropped.
+func (l *delayLine) waitUntilSent() {
+	for {
+		l.mu.Lock()
+		unsent := l.unsent
+		l.mu.Unlock()
+		if unsent == 0 {
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
 func newTimedSegment(at time.Time, segments []Segment) timedSegment {
 	s := timedSegment{Segment: segments[0], at: at.Add(segments[0].Delay), next: segments[1:]}
 	if s.MaxDelay > 0 {
@@ -296,7 +318,10 @@
 		_, _ = l.conn.Write(s.Data)
 		l.end(s.End)
 	}
-	l.addAll(time.Now(), s.next)
+	if len(s.next) > 0 {
+		l.insert(newTimedSegment(time.Now(), s.next))
+	}
+	l.countUnsent(-1)
 }
 
 func (l *delayLine) end(end ConnectionEnd) {
