--- a/cmd/ashshunt/soak_network_test.go
+++ b/cmd/ashshunt/soak_network_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -40,11 +41,27 @@
 // responseFault changes a response on its way to the agent.
 type responseFault func(s *soak, response []byte) []testutil.Segment
 
-// responseFaults are the faults of the network between the agent and the endpoints. None of them gives the agent a
-// well-formed response that it can't tell from that of its request, other than after the late window.
-var responseFaults = []responseFault{
-	secondCopy, secondRejection, rejectionBehind, rejectionBefore, noiseBehind, informationalBefore, delayed, split,
-	withheld, truncated, resetInstead, closedInstead, silentHalfWay,
+// anyResponseFaults are faults of the network between the agent and the endpoints for any response.
+var anyResponseFaults = []responseFault{
+	informationalBefore, delayed, split, withheld, resetInstead, closedInstead, silentHalfWay,
+}
+
+// lengthResponseFaults are further faults for responses with a length. Without one, all bytes until the close are the
+// body of the response, and it ends wherever the connection is closed.
+//
+// None of these faults gives the agent a well-formed response that it can't tell from that of its request, other than
+// after the late window.
+var lengthResponseFaults = []responseFault{
+	secondCopy, secondRejection, rejectionBehind, rejectionBefore, noiseBehind, truncated,
+}
+
+// drawResponseFault draws a fault for a response.
+func (s *soak) drawResponseFault(response []byte) responseFault {
+	faults := anyResponseFaults
+	if bytes.Contains(response, []byte("Content-Length")) {
+		faults = slices.Concat(anyResponseFaults, lengthResponseFaults)
+	}
+	return faults[s.rng.drawInt(len(faults))]
 }
 
 func secondCopy(s *soak, response []byte) []testutil.Segment {
@@ -62,26 +79,15 @@
 }
 
 func rejectionBehind(_ *soak, response []byte) []testutil.Segment {
-	return []testutil.Segment{{Data: appendBehind(response, unrequestedRejected)}}
+	return []testutil.Segment{{Data: append(response, unrequestedRejected...)}}
 }
 
-// appendBehind appends text to a response. A response without a length stays as it is, since all bytes until the close
-// are its body.
-func appendBehind(response []byte, text string) []byte {
-	if !hasLength(response) {
-		return response
-	}
-	return append(response, text...)
-}
-
-func hasLength(response []byte) bool { return bytes.Contains(response, []byte("Content-Length")) }
-
 func rejectionBefore(_ *soak, response []byte) []testutil.Segment {
 	return []testutil.Segment{{Data: append([]byte(unrequestedRejected), response...)}}
 }
 
 func noiseBehind(_ *soak, response []byte) []testutil.Segment {
-	return []testutil.Segment{{Data: appendBehind(response, "noise")}}
+	return []testutil.Segment{{Data: append(response, "noise"...)}}
 }
 
 func informationalBefore(_ *soak, response []byte) []testutil.Segment {
@@ -100,11 +106,7 @@
 
 func withheld(*soak, []byte) []testutil.Segment { return nil }
 
-// truncated cuts a response off. One without a length stays as it is, since it ends wherever the connection is closed.
 func truncated(s *soak, response []byte) []testutil.Segment {
-	if !hasLength(response) {
-		return []testutil.Segment{{Data: response}}
-	}
 	return []testutil.Segment{{Data: response[:s.rng.drawInt(len(response))], End: testutil.EndHalfClose}}
 }
 
@@ -134,7 +136,7 @@
 			},
 			OnResponse: func(response []byte) []testutil.Segment {
 				if s.rng.drawBool(networkFaultProbability) {
-					return responseFaults[s.rng.drawInt(len(responseFaults))](s, response)
+					return s.drawResponseFault(response)(s, response)
 				}
 				return []testutil.Segment{{Data: response}}
 			},
