--- a/cmd/ashshunt/unrequested_response_test.go
+++ b/cmd/ashshunt/unrequested_response_test.go
@@ -15,7 +15,7 @@
 
 const (
 	// unrequestedRequestsEnvVar is the environment variable with the number of requests of each run of
-	// TestUnrequestedResponses and TestUnrequestedResponsesAtAnyTime. The default is for CI.
+	// TestUnrequestedResponses and the tests like it. The default is for CI.
 	unrequestedRequestsEnvVar = "ASHSHUNT_UNREQUESTED_REQUESTS"
 	defaultRequestsPerRun     = 800
 	// unrequestedSeedEnvVar is the environment variable with the seed of these runs. The default is 1.
@@ -49,6 +49,23 @@
 	run.verifier.verify()
 }
 
+// A response that nobody asked for on a new connection, after the agent has sent its request there, must never count as
+// the response to it.
+func TestUnrequestedResponsesOnNewConnections(t *testing.T) {
+	run := newUnrequestedRun(t)
+	run.network.faults.OnConnect = run.unaskedResponse
+	run.runRequests(requestsPerRun(t))
+	run.verifier.verify()
+}
+
+// unaskedResponse is the function OnConnect of a network that sometimes sends a response 3 ms after the accept.
+func (s *soak) unaskedResponse() []testutil.Segment {
+	if s.rng.drawBool(unrequestedProbability) {
+		return []testutil.Segment{s.drawUnrequested(3 * time.Millisecond)}
+	}
+	return nil
+}
+
 // newUnrequestedRun returns a run with endpoints that are 10 ms away and take 30 to 90 ms.
 func newUnrequestedRun(t *testing.T) *soak {
 	t.Helper()
@@ -171,12 +188,7 @@
 	}
 	t.Run("3 ms after the accept", func(t *testing.T) {
 		run := newUnrequestedRun(t)
-		run.network.faults.OnConnect = func() []testutil.Segment {
-			if run.rng.drawBool(unrequestedProbability) {
-				return []testutil.Segment{run.drawUnrequested(3 * time.Millisecond)}
-			}
-			return nil
-		}
+		run.network.faults.OnConnect = run.unaskedResponse
 		run.runRequests(requestsPerRun(t))
 		run.verifier.logViolations()
 	})
