--- a/cmd/ashshunt/faults_test.go
+++ b/cmd/ashshunt/faults_test.go
@@ -146,3 +146,17 @@
 	file.write(t, text)
 	process.waitForAddr(t)
 }
+
+// An unknown log level must end the start with one plain line.
+func TestUnknownLogLevel(t *testing.T) {
+	t.Setenv("GW_LOG_LEVEL", "loud")
+	file := newConfigFile(t)
+	file.write(t, configText("127.0.0.1:1", "", 300))
+	process := startAgent(t, file)
+	process.waitForLogLine(t, `ashshunt: GW_LOG_LEVEL: invalid value "loud", want DEBUG, INFO, WARN or ERROR`)
+	process.discardLog()
+	var exit *exec.ExitError
+	if err := process.Wait(); !errors.As(err, &exit) || exit.ExitCode() != 1 {
+		t.Errorf("got exit error %v, want exit status 1", err)
+	}
+}
