Close an excess idle connection after 4 s, not 0.8 s

Where an agent has little traffic, its second connection to an endpoint was closed and dialed again and again; large fleets pay more for handshakes.

--- a/internal/upstream/sweep.go
+++ b/internal/upstream/sweep.go
@@ -9,7 +9,7 @@
 	examinationFactor = 2
 	// excessIdleTimeout is the idle time after which a connection is closed if another one to its endpoint became idle
 	// later. Each open connection takes capacity from its endpoint.
-	excessIdleTimeout = 800 * time.Millisecond
+	excessIdleTimeout = 4 * time.Second
 	// minSweepInterval is the minimum time between two sweeps.
 	minSweepInterval = 50 * time.Millisecond
 )
