Serve no response with other bytes right behind it: it may be a part, or another's

What callers saw: status 200 with a part of the response, or with the response to another request.

Cause: exchange noticed bytes behind a response (isFollowed) and closed its connection, but classify in attempt.go took them into account for rejections only. A 200 counted as served whatever followed. Beyond the read buffer nothing looked for such bytes after a 200 at all.

Change: what follows a response decides whether it proves anything. Nothing or a whole copy: a 200 is served, since its length was right. Anything else: malformed, may have run; its class decides about a retry.

Cost: one more look at the socket for each served response.

--- a/cmd/ashshunt/soak_network_test.go
+++ b/cmd/ashshunt/soak_network_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"fmt"
+	"regexp"
 	"slices"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -53,6 +56,7 @@
 // after the late window.
 var lengthResponseFaults = []responseFault{
 	secondCopy, secondRejection, rejectionBehind, rejectionBefore, noiseBehind, truncated,
+	lengthTooSmall, endedTooEarly, anotherResponseBefore, copyBehind,
 }
 
 // drawResponseFault draws a fault for a response.
@@ -90,6 +94,42 @@
 	return []testutil.Segment{{Data: append(response, "noise"...)}}
 }
 
+func anotherResponseBefore(_ *soak, response []byte) []testutil.Segment {
+	return []testutil.Segment{{Data: append([]byte(unrequestedOK), response...)}}
+}
+
+func copyBehind(_ *soak, response []byte) []testutil.Segment {
+	return []testutil.Segment{{Data: append(response, response...)}}
+}
+
+// lengthTooSmall states a length that is too small for the body.
+func lengthTooSmall(s *soak, response []byte) []testutil.Segment {
+	head, body, _ := bytes.Cut(response, []byte("\r\n\r\n"))
+	if len(body) == 0 {
+		return []testutil.Segment{{Data: response}}
+	}
+	length := "Content-Length: " + strconv.Itoa(s.rng.drawInt(len(body)))
+	return []testutil.Segment{{Data: fmt.Appendf(nil, "%s\r\n\r\n%s", replaceLength(head, length), body)}}
+}
+
+// endedTooEarly sends the body in two chunks, with the last chunk between them.
+func endedTooEarly(s *soak, response []byte) []testutil.Segment {
+	head, body, _ := bytes.Cut(response, []byte("\r\n\r\n"))
+	if len(body) < 2 {
+		return []testutil.Segment{{Data: response}}
+	}
+	at := 1 + s.rng.drawInt(len(body)-1)
+	return []testutil.Segment{{Data: fmt.Appendf(nil, "%s\r\n\r\n%x\r\n%s\r\n0\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+		replaceLength(head, "Transfer-Encoding: chunked"), at, body[:at], len(body)-at, body[at:])}}
+}
+
+// replaceLength replaces the Content-Length in the head of a response.
+func replaceLength(head []byte, header string) []byte {
+	return contentLengthPattern.ReplaceAllLiteral(head, []byte(header))
+}
+
+var contentLengthPattern = regexp.MustCompile(`Content-Length: \d+`)
+
 func informationalBefore(_ *soak, response []byte) []testutil.Segment {
 	return []testutil.Segment{{Data: []byte("HTTP/1.1 103 Early Hints\r\n\r\n")}, {Data: response}}
 }
--- a/cmd/ashshunt/unrequested_response_test.go
+++ b/cmd/ashshunt/unrequested_response_test.go
@@ -49,6 +49,20 @@
 	run.verifier.verify()
 }
 
+// A client must not be served a part of its response, or the response to another request in the same write.
+func TestPartsOfResponsesAreNotServed(t *testing.T) {
+	run := newUnrequestedRun(t)
+	faults := []responseFault{lengthTooSmall, endedTooEarly, anotherResponseBefore}
+	run.network.faults.OnResponse = func(response []byte) []testutil.Segment {
+		if run.rng.drawBool(unrequestedProbability) {
+			return faults[run.rng.drawInt(len(faults))](run, response)
+		}
+		return []testutil.Segment{{Data: response}}
+	}
+	run.runRequests(requestsPerRun(t))
+	run.verifier.verify()
+}
+
 // A response that nobody asked for on a new connection, after the agent has sent its request there, must never count as
 // the response to it.
 func TestUnrequestedResponsesOnNewConnections(t *testing.T) {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -188,7 +188,7 @@
 	switch {
 	case outcome.reusable:
 		c.pool.release(conn)
-	case outcome.isFollowed:
+	case outcome.following != followedByNothing:
 		conn.idleSince = outcome.response.EndedAt
 		c.pool.close(conn, closeUnrequestedBytes)
 	case errors.Is(outcome.response.Err, errUnrequestedBytes):
@@ -201,14 +201,13 @@
 }
 
 // classify returns the result that the protocol defines for the outcome of an exchange. If it is unknown whether the
-// request ran, the result says that it may have run. A rejection that is followed by more bytes proves nothing: either
-// of the two may be the response.
+// request ran, the result says that it may have run.
 func classify(outcome exchangeOutcome, cancelled bool) balancer.Result {
 	response := outcome.response
 	switch {
-	case response.Err == nil && response.Status == http.StatusOK:
+	case response.isServed():
 		return balancer.Served
-	case response.Err == nil && response.isRejected() && !outcome.isFollowed:
+	case response.Err == nil && response.isRejected():
 		return balancer.Rejected
 	case response.Err == nil || errors.Is(response.Err, errMalformedResponse):
 		return balancer.ServerError
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"ashshunt/internal/socket"
 )
 
 // responseBufferSize is the size in bytes of the read buffer of an exchange.
@@ -24,7 +22,7 @@
 	response       Response
 	requestWritten bool      // the request was written completely
 	reusable       bool      // the connection may be used for another request
-	isFollowed     bool      // further bytes came right behind the response
+	following      following // what came right behind the response
 	firstByteAt    time.Time // time of the first byte of the response; zero: there is none
 }
 
@@ -63,19 +61,24 @@
 	buffer.Reset(reader)
 	response, keepAlive := reader.readResponse()
 	response.EndedAt = time.Now()
-	isServed := response.Status == http.StatusOK
-	isFollowed := buffer.Buffered() > 0 || !isServed && socket.Peek(conn) == socket.Readable
+	following := followedByNothing
+	if response.Err == nil {
+		following = reader.readFollowing(response)
+		if err := validateFollowing(response, following); err != nil {
+			response = Response{Err: err, EndedAt: time.Now()}
+		}
+	}
 	putBuffer(buffer)
 	// A request that was not served may be sent again. Its connection is closed before that: if the response was not
 	// its own, the request still runs.
-	keepAlive = keepAlive && isServed
+	keepAlive = keepAlive && response.isServed() && following == followedByNothing
 	return exchangeOutcome{
 		response:       response,
 		requestWritten: true,
 		firstByteAt:    reader.firstByteAt,
-		isFollowed:     response.Err == nil && isFollowed,
+		following:      following,
 		// stopInterrupt returns false if ctx was cancelled. pastDeadline may then be set on the connection at any time.
-		reusable: keepAlive && !isFollowed && stopInterrupt(),
+		reusable: keepAlive && stopInterrupt(),
 	}
 }
 
--- a/internal/upstream/log.go
+++ b/internal/upstream/log.go
@@ -47,6 +47,9 @@
 	if !outcome.firstByteAt.IsZero() {
 		attrs = append(attrs, "first_byte", outcome.firstByteAt.Sub(conn.startedAt))
 	}
+	if outcome.following != followedByNothing {
+		attrs = append(attrs, "followed_by", outcome.following.String())
+	}
 	if outcome.response.Err != nil {
 		attrs = append(attrs, telemetry.Err(outcome.response.Err))
 	}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -24,6 +24,9 @@
 	Err     error
 }
 
+// isServed reports whether the endpoint served the request.
+func (r Response) isServed() bool { return r.Err == nil && r.Status == http.StatusOK }
+
 // isRejected reports whether the endpoint rejected the request without running it.
 func (r Response) isRejected() bool {
 	unavailable := r.Status == http.StatusServiceUnavailable || r.Status == http.StatusGatewayTimeout
