--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -40,11 +41,31 @@
 	if err != nil {
 		return Closed
 	}
-	state := Unknown
-	if raw.Control(func(fd uintptr) { state = peek(fd) }) != nil {
+	call, ok := peekCalls.Get().(*peekCall)
+	if !ok {
+		call = newPeekCall()
+	}
+	defer peekCalls.Put(call)
+	if raw.Control(call.run) != nil {
 		return Closed
 	}
-	return state
+	return call.state
+}
+
+// peekCalls holds unused peekCalls, so that Peek, which runs several times for each request, allocates none.
+var peekCalls sync.Pool
+
+// peekCall is one call of peek, with its result.
+type peekCall struct {
+	run    func(fd uintptr)
+	buffer [1]byte
+	state  ReceiveState
+}
+
+func newPeekCall() *peekCall {
+	c := &peekCall{}
+	c.run = func(fd uintptr) { c.state = peek(fd, c.buffer[:]) }
+	return c
 }
 
 // HasUnread reports whether a connection has bytes to read. It also reports true if that is unknown, so that no request
@@ -60,7 +81,8 @@
 	if err != nil {
 		return err
 	}
-	return raw.Read(func(fd uintptr) bool { return peek(fd) != Empty })
+	var buffer [1]byte
+	return raw.Read(func(fd uintptr) bool { return peek(fd, buffer[:]) != Empty })
 }
 
 // PeerState describes a peer that waits for a response.
@@ -131,13 +153,15 @@
 	return syscallConn.SyscallConn()
 }
 
-// peek implements Peek for a file descriptor.
-func peek(fd uintptr) ReceiveState {
-	var buffer [1]byte
-	n, err := retryTransient(func() (int, error) {
-		n, _, err := recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return n, err
-	})
+// peek implements Peek for a file descriptor. It reads into a buffer, which must not be empty, without removing bytes
+// from the socket.
+func peek(fd uintptr, buffer []byte) ReceiveState {
+	n, err := 0, error(nil)
+	for range maxRetries {
+		if n, _, err = recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT); !isTransient(err) {
+			break
+		}
+	}
 	switch {
 	case errors.Is(err, syscall.EAGAIN):
 		return Empty
