Reject a request with bytes behind it that start no other request: it may be cut

What callers saw: a client whose Content-Length is too small was served with 200, and a part of its request was forwarded. Only the rest of its body, taken for the next request, got a 400.

Nothing looked at what follows a request before it was forwarded; net/http reads ahead and does not tell how far.

Change: requestScanner follows the bytes that net/http reads and finds the ends of requests. Before the last byte of a body is read, while net/http does not read ahead yet, the next bytes, those in the socket included, must be able to start a request. Otherwise: 400, closed, nothing forwarded.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -33,6 +33,7 @@
 	net.Conn
 	table      *connectionTable
 	acceptedAt time.Time
+	scanner    requestScanner
 	state      connectionState // guarded by table.mu
 }
 
@@ -60,9 +61,31 @@
 	if rejected := c.recordRead(n); rejected != nil {
 		return 0, rejected
 	}
+	c.scanner.add(p[:n])
 	return n, err
 }
 
+// validateFollowing returns an error if the bytes behind the current request can't be a further request. The length of
+// its body is then too small, or it has none, and what was read of it may be a part. unread are the next bytes of the
+// connection, which were not read.
+func (c *connection) validateFollowing(unread []byte) error {
+	if c.scanner.isFollowedByOther(unread) {
+		return errFollowedByOtherBytes
+	}
+	return nil
+}
+
+// validateUnreadFollowing is validateFollowing for a request of which at most the last byte was not read. It waits for
+// that byte.
+func (c *connection) validateUnreadFollowing() error {
+	remaining := c.scanner.bodyBytesRemaining()
+	if remaining > 0 {
+		_ = socket.WaitForReadable(c.Conn) // the read of the byte returns the error
+	}
+	unread := make([]byte, remaining+maxRequestStart)
+	return c.validateFollowing(unread[:socket.PeekBytes(c.Conn, unread)])
+}
+
 // waitForFirstByte blocks until an idle connection has bytes to read, and moves it to phaseReading.
 func (c *connection) waitForFirstByte() error {
 	if c.isIdle() {
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -28,6 +28,11 @@
 	errLoopStopped = errors.New("event loop stopped")
 	// errTooMuchUnread: the client has sent so many bytes after its request that a disconnect would not be detected.
 	errTooMuchUnread = &RequestError{Status: http.StatusBadRequest, Reason: "too much behind a request"}
+	// errFollowedByOtherBytes: the bytes behind the request are no request, so that it may be cut.
+	errFollowedByOtherBytes = &RequestError{
+		Status: http.StatusBadRequest,
+		Reason: "bytes behind the request start no other request",
+	}
 )
 
 // handler handles the application's requests.
@@ -63,6 +68,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	connectionOf(r).scanner.startBody(r.ContentLength)
 	if r.URL.Path == protocol.HealthPath {
 		h.serveHealth(w)
 		return
@@ -115,13 +121,16 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.ContentLength != 0 {
-		if request.Body, err = readBody(r); err != nil {
-			return nil, &RequestError{Status: http.StatusBadRequest, Reason: "bad body", Err: err}
-		}
+	conn := connectionOf(r)
+	if r.ContentLength == 0 {
+		err = conn.validateFollowing(nil) // net/http may be reading ahead
+	} else {
+		request.Body, err = readBody(r, conn)
 		arrived = time.Now()
 	}
-	conn := connectionOf(r)
+	if err != nil {
+		return nil, err
+	}
 	if !conn.startResponse() {
 		return nil, errRejectedIncomplete
 	}
--- a/internal/frontend/parse.go
+++ b/internal/frontend/parse.go
@@ -237,11 +237,24 @@
 	return &url.URL{Opaque: path, RawQuery: query, ForceQuery: strings.HasSuffix(r.RequestURI, "?")}, nil
 }
 
-// readBody reads a body whose length has been validated. It sets no read deadline, since net/http would treat a
-// deadline that expires just as the body completes as a disconnect. The connection rejects a request that takes too
-// long.
-func readBody(r *http.Request) ([]byte, error) {
+// readBody reads a body whose length has been validated, and validates what follows it before it reads the last byte:
+// after that, net/http reads ahead. It sets no read deadline, since net/http would treat a deadline that expires just
+// as the body completes as a disconnect. The connection rejects a request that takes too long.
+func readBody(r *http.Request, conn *connection) ([]byte, error) {
 	body := make([]byte, r.ContentLength)
-	_, err := io.ReadFull(r.Body, body)
-	return body, err
+	last := len(body) - 1
+	_, err := r.Body.Read(body[:0]) // sends 100 Continue if the client waits for it
+	if err == nil {
+		_, err = io.ReadFull(r.Body, body[:last])
+	}
+	if err == nil {
+		if err := conn.validateUnreadFollowing(); err != nil {
+			return nil, err
+		}
+		_, err = io.ReadFull(r.Body, body[last:])
+	}
+	if err != nil {
+		return nil, &RequestError{Status: http.StatusBadRequest, Reason: "bad body", Err: err}
+	}
+	return body, nil
 }
--- /dev/null
+++ b/internal/frontend/requestscanner.go
@@ -0,0 +1,155 @@
+package frontend
+
+import (
+	"bytes"
+	"slices"
+	"sync"
+)
+
+// requestStarts are the methods with which a request may start, each with the space behind it.
+var requestStarts = [][]byte{
+	[]byte("GET "), []byte("HEAD "), []byte("POST "), []byte("PUT "), []byte("PATCH "), []byte("DELETE "),
+	[]byte("CONNECT "), []byte("OPTIONS "), []byte("TRACE "),
+}
+
+// maxRequestStart is the length of the longest of requestStarts.
+const maxRequestStart = len("CONNECT ")
+
+// mayStartRequest reports whether bytes may be the first ones of a request. There may be none.
+func mayStartRequest(first []byte) bool {
+	return slices.ContainsFunc(requestStarts, func(start []byte) bool {
+		return bytes.HasPrefix(start, first) || bytes.HasPrefix(first, start)
+	})
+}
+
+// requestScanner finds the ends of requests in the bytes that are read from a connection, as net/http does, and knows
+// which bytes follow a request. net/http reads ahead and does not tell how far.
+//
+// The owner adds all bytes in their order, and calls startBody for each request once net/http has read its head. It is
+// safe for concurrent use, since net/http reads ahead on another goroutine while a request is served.
+type requestScanner struct {
+	mu sync.Mutex
+
+	// state is the part of a request to which the next byte belongs.
+	state scanState
+	// start holds the first bytes of the head that is being scanned, or was scanned last.
+	start       [maxRequestStart]byte
+	startLength int
+	// lineLength and lineStart are the length and the first byte of the current line of the head, without its LF.
+	lineLength int
+	lineStart  byte
+	// unscanned holds the bytes behind a head whose body has an unknown length.
+	unscanned []byte
+	// bodyRemaining is the number of bytes of the body that were not added.
+	bodyRemaining int64
+}
+
+// scanState is the part of a request to which the next byte belongs.
+type scanState uint8
+
+const (
+	scanHead       scanState = iota // the status line or the header
+	scanUnknown                     // the head is complete, and the length of the body is unknown
+	scanBody                        // the body
+	scanImpossible                  // the scanner and net/http disagree about where a request ends
+)
+
+// add adds bytes that were read from the connection.
+func (s *requestScanner) add(p []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addLocked(p)
+}
+
+// addLocked is add for callers that hold the mutex.
+func (s *requestScanner) addLocked(p []byte) {
+	for len(p) > 0 {
+		switch s.state {
+		case scanHead:
+			p = s.addHead(p)
+		case scanBody:
+			p = s.addBody(p)
+		case scanUnknown:
+			s.unscanned = append(s.unscanned, p...)
+			return
+		case scanImpossible:
+			return
+		}
+	}
+}
+
+// addHead adds bytes up to the end of the head, which is an empty line, and returns the bytes behind it.
+func (s *requestScanner) addHead(p []byte) []byte {
+	s.startLength += copy(s.start[s.startLength:], p)
+	for len(p) > 0 {
+		line, rest, isComplete := bytes.Cut(p, []byte{'\n'})
+		if s.lineLength == 0 && len(line) > 0 {
+			s.lineStart = line[0]
+		}
+		s.lineLength += len(line)
+		if !isComplete {
+			return nil
+		}
+		isEmpty := s.lineLength == 0 || s.lineLength == 1 && s.lineStart == '\r'
+		s.lineLength = 0
+		p = rest
+		if isEmpty {
+			s.state = scanUnknown
+			break
+		}
+	}
+	return p
+}
+
+// addBody adds bytes up to the end of the body and returns the bytes behind it.
+func (s *requestScanner) addBody(p []byte) []byte {
+	n := min(int64(len(p)), s.bodyRemaining)
+	s.bodyRemaining -= n
+	if s.bodyRemaining == 0 {
+		s.state, s.startLength = scanHead, 0
+	}
+	return p[n:]
+}
+
+// startBody sets the length of the body behind the head that net/http has just read.
+func (s *requestScanner) startBody(length int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != scanUnknown || length < 0 {
+		s.state = scanImpossible
+		return
+	}
+	s.state, s.bodyRemaining = scanBody, length
+	behindHead := s.addBody(s.unscanned)
+	s.unscanned = s.unscanned[:0]
+	s.addLocked(behindHead) // the bytes move to the front of unscanned, if they are needed there
+}
+
+// bodyBytesRemaining returns the number of bytes of the current request's body that were not added.
+func (s *requestScanner) bodyBytesRemaining() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != scanBody {
+		return 0
+	}
+	return int(s.bodyRemaining)
+}
+
+// isFollowedByOther reports whether the bytes behind the current request can't be the first ones of a further request.
+// unread are the next bytes of the connection, which were not added. It reports false if the scanner can't tell.
+func (s *requestScanner) isFollowedByOther(unread []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch s.state {
+	case scanBody:
+		unread = unread[min(int64(len(unread)), s.bodyRemaining):]
+		return !mayStartRequest(unread)
+	case scanImpossible:
+		return false
+	case scanHead, scanUnknown:
+	}
+	var first [maxRequestStart]byte
+	n := copy(first[:], s.start[:s.startLength])
+	n += copy(first[n:], unread)
+	return !mayStartRequest(first[:n])
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -52,6 +52,21 @@
 	return call.state
 }
 
+// PeekBytes copies the next bytes of a socket to a buffer, without blocking and without reading them. It returns their
+// number, which is 0 if there are none or if that is unknown.
+func PeekBytes(conn net.Conn, buffer []byte) int {
+	raw, err := rawConn(conn)
+	if err != nil {
+		return 0
+	}
+	n := 0
+	controlErr := raw.Control(func(fd uintptr) { n, err = peekBytes(fd, buffer) })
+	if err != nil || controlErr != nil {
+		return 0
+	}
+	return n
+}
+
 // peekCalls holds unused peekCalls, so that Peek, which runs several times for each request, allocates none.
 var peekCalls sync.Pool
 
@@ -156,12 +171,7 @@
 // peek implements Peek for a file descriptor. It reads into a buffer, which must not be empty, without removing bytes
 // from the socket.
 func peek(fd uintptr, buffer []byte) ReceiveState {
-	n, err := 0, error(nil)
-	for range maxRetries {
-		if n, _, err = recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT); !isTransient(err) {
-			break
-		}
-	}
+	n, err := peekBytes(fd, buffer)
 	switch {
 	case errors.Is(err, syscall.EAGAIN):
 		return Empty
@@ -173,6 +183,17 @@
 	return Closed
 }
 
+// peekBytes implements PeekBytes for a file descriptor. It retries a transient failure as retryTransient does, but
+// without a closure to allocate.
+func peekBytes(fd uintptr, buffer []byte) (n int, err error) {
+	for range maxRetries {
+		if n, _, err = recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT); !isTransient(err) {
+			break
+		}
+	}
+	return n, err
+}
+
 // isHungUp reports whether the peer has closed its sending side or the connection has failed.
 func isHungUp(fd uintptr) bool {
 	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
