Hold with tests that no part of an endpoint list is taken for the list

A related path of: a poll's response or a list of a watch whose length is too small. Tried, not at fault: a JSON object shows its own end. TestParseCutList tries each part of a list, TestCutPollIsNotApplied a poll whose Content-Length is 12 bytes too small.

--- a/internal/discovery/poll_test.go
+++ b/internal/discovery/poll_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -46,6 +49,21 @@
 	}
 }
 
+// A part of a list must not be taken for the list, if the length of the response is too small.
+func TestCutPollIsNotApplied(t *testing.T) {
+	const missing = 12
+	text := completeListJSON(2, entryJSON("s0", "SERVING"), entryJSON("s1", "DRAINING"))
+	server := testutil.NewServer(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text)-missing, text)
+		return true
+	})
+	options, events := newOptions(t, testutil.Config(t, server.Addr(), entryJSON("s1", "SERVING")))
+	client := New(options)
+	client.Poll(t.Context())
+	expectFailure(t, events)
+	expectServing(t, client, "s1", true) // from the cached list
+}
+
 // A list with an older version, whether it is a delayed poll response or a list of the watch, must not revert the
 // version and the table. Otherwise requests would be sent to a draining endpoint again.
 func TestOutdatedListIsIgnored(t *testing.T) {
--- a/internal/endpoint/list_test.go
+++ b/internal/endpoint/list_test.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// No part of a list may be taken for the list, whatever stated a length that was too small.
+func TestParseCutList(t *testing.T) {
+	text := `{"version":41,"full":true,"servers":[` + testutil.EntryJSON("s0", "127.0.0.1:1", "SERVING") + `,` +
+		testutil.EntryJSON("s1", "127.0.0.1:2", "SERVING") + `]}`
+	for length := range len(text) {
+		if list, err := endpoint.ParseList([]byte(text[:length])); !errors.Is(err, endpoint.ErrMalformedList) {
+			t.Errorf("%d of %d bytes: got list %+v, error %v, want ErrMalformedList", length, len(text), list, err)
+		}
+	}
+}
+
 func TestParseMalformedList(t *testing.T) {
 	good := testutil.EntryJSON("s0", "127.0.0.1:1", "SERVING")
 	for name, text := range map[string]string{
