--- a/cmd/ashshunt/soak_network_test.go
+++ b/cmd/ashshunt/soak_network_test.go
@@ -112,6 +112,21 @@
 	return []testutil.Segment{{Data: fmt.Appendf(nil, "%s\r\n\r\n%s", replaceLength(head, length), body)}}
 }
 
+// restLater states a length that is too small for the body, and sends the rest of the body in a write of its own.
+func restLater(s *soak, response []byte, delay time.Duration) []testutil.Segment {
+	segments := lengthTooSmall(s, response)
+	head, body, _ := bytes.Cut(segments[0].Data, []byte("\r\n\r\n"))
+	length, err := strconv.Atoi(string(contentLengthPattern.FindSubmatch(head)[1]))
+	if err != nil || length == len(body) {
+		return segments
+	}
+	end := len(segments[0].Data) - len(body) + length
+	return []testutil.Segment{
+		{Data: segments[0].Data[:end]},
+		{Delay: delay, MaxDelay: delay + unrequestedMaxOverrun, Data: segments[0].Data[end:]},
+	}
+}
+
 // endedTooEarly sends the body in two chunks, with the last chunk between them.
 func endedTooEarly(s *soak, response []byte) []testutil.Segment {
 	head, body, _ := bytes.Cut(response, []byte("\r\n\r\n"))
@@ -128,7 +143,7 @@
 	return contentLengthPattern.ReplaceAllLiteral(head, []byte(header))
 }
 
-var contentLengthPattern = regexp.MustCompile(`Content-Length: \d+`)
+var contentLengthPattern = regexp.MustCompile(`Content-Length: (\d+)`)
 
 func informationalBefore(_ *soak, response []byte) []testutil.Segment {
 	return []testutil.Segment{{Data: []byte("HTTP/1.1 103 Early Hints\r\n\r\n")}, {Data: response}}
--- a/cmd/ashshunt/unrequested_response_test.go
+++ b/cmd/ashshunt/unrequested_response_test.go
@@ -63,6 +63,27 @@
 	run.verifier.verify()
 }
 
+// A client must not be served a part of its response, if the rest comes up to 5 ms later.
+func TestPartsOfResponsesWithLateRestAreNotServed(t *testing.T) {
+	run := newUnrequestedRun(t)
+	run.network.faults.OnResponse = run.responsesWithLateRest(func() time.Duration {
+		return run.rng.drawDuration(0, 5*time.Millisecond)
+	})
+	run.runRequests(requestsPerRun(t))
+	run.verifier.verify()
+}
+
+// responsesWithLateRest returns the function OnResponse of a network in which some lengths are too small, and the rest
+// of the body comes later. drawDelay draws the time between the two.
+func (s *soak) responsesWithLateRest(drawDelay func() time.Duration) func([]byte) []testutil.Segment {
+	return func(response []byte) []testutil.Segment {
+		if s.rng.drawBool(unrequestedProbability) {
+			return restLater(s, response, drawDelay())
+		}
+		return []testutil.Segment{{Data: response}}
+	}
+}
+
 // A response that nobody asked for on a new connection, after the agent has sent its request there, must never count as
 // the response to it.
 func TestUnrequestedResponsesOnNewConnections(t *testing.T) {
@@ -200,6 +221,14 @@
 			run.verifier.logViolations()
 		})
 	}
+	for _, delay := range []time.Duration{0, 200 * time.Microsecond, time.Millisecond, 2 * time.Millisecond} {
+		t.Run(fmt.Sprintf("rest of a cut response %v later", delay), func(t *testing.T) {
+			run := newUnrequestedRun(t)
+			run.network.faults.OnResponse = run.responsesWithLateRest(func() time.Duration { return delay })
+			run.runRequests(requestsPerRun(t))
+			run.verifier.logViolations()
+		})
+	}
 	t.Run("3 ms after the accept", func(t *testing.T) {
 		run := newUnrequestedRun(t)
 		run.network.faults.OnConnect = run.unaskedResponse
