--- a/cmd/ashshunt/soak_client_test.go
+++ b/cmd/ashshunt/soak_client_test.go
@@ -20,9 +20,9 @@
 	connectTimeout = time.Second
 	// responseTimeout is how long after a request's deadline its client still waits for the response.
 	responseTimeout = 3 * time.Second
-	// maxIncompleteDuration is the time within which the agent must close the connection of an incomplete request.
+	// maxIncompleteDuration is the time within which the agent must close the connection of an invalid request.
 	maxIncompleteDuration = 3 * time.Second
-	// incompleteTimeout is how long a client waits for the close after an incomplete request.
+	// incompleteTimeout is how long a client waits for the close after an invalid request.
 	incompleteTimeout = 10 * time.Second
 )
 
@@ -122,13 +122,13 @@
 		method, class.name, r.id, r.timeout.Milliseconds(), headers, body)
 }
 
-// send sends a request, or an incomplete part of it, and records the result with the verifier.
+// send sends a request, or an invalid form of it, and records the result with the verifier.
 func (c *soakClient) send(request *soakRequest, class soakClass) {
 	rng := c.soak.rng
 	c.connUsed = true
 	text := request.text(class)
 	if rng.drawBool(0.02) {
-		c.sendIncomplete(c.drawPrefix(text))
+		c.sendInvalid(c.drawInvalid(text))
 		return
 	}
 	if !c.write(request, text) {
@@ -144,6 +144,14 @@
 	c.waitForResponse(request)
 }
 
+// drawInvalid draws an incomplete part of a request, or a request whose length is too small for its body.
+func (c *soakClient) drawInvalid(text string) string {
+	if c.soak.rng.drawBool(0.5) {
+		return c.drawPrefix(text)
+	}
+	return text + "x"
+}
+
 // drawPrefix draws a non-empty prefix of a text that lacks at least the last byte.
 func (c *soakClient) drawPrefix(text string) string { return text[:1+c.soak.rng.drawInt(len(text)-2)] }
 
@@ -188,8 +196,9 @@
 	}
 }
 
-// sendIncomplete sends a part of a request and waits for an error response or the end of the connection.
-func (c *soakClient) sendIncomplete(text string) {
+// sendInvalid sends an invalid request and waits for an error response or the end of the connection. The verifier does
+// not know the request, so that it must not be forwarded.
+func (c *soakClient) sendInvalid(text string) {
 	defer c.disconnect()
 	if _, err := io.WriteString(c.conn, text); err != nil {
 		return
