--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -59,15 +59,7 @@
 	buffer := getBuffer()
 	reader := &responseReader{conn: conn, ctx: ctx, buffer: buffer, limits: limits}
 	buffer.Reset(reader)
-	response, keepAlive := reader.readResponse()
-	response.EndedAt = time.Now()
-	following := followedByNothing
-	if response.Err == nil {
-		following = reader.readFollowing(response)
-		if err := validateFollowing(response, following); err != nil {
-			response = Response{Err: err, EndedAt: time.Now()}
-		}
-	}
+	response, keepAlive, following := reader.readAndValidateResponse()
 	putBuffer(buffer)
 	// A request that was not served may be sent again. Its connection is closed before that: if the response was not
 	// its own, the request still runs.
--- a/internal/upstream/following.go
+++ b/internal/upstream/following.go
@@ -33,6 +33,21 @@
 // String implements fmt.Stringer.
 func (f following) String() string { return followingNames[f] }
 
+// readAndValidateResponse reads the response and what follows it. The response has only an error if it proves nothing.
+// keepAlive is that of readResponse.
+func (r *responseReader) readAndValidateResponse() (response Response, keepAlive bool, f following) {
+	response, keepAlive = r.readResponse()
+	response.EndedAt = time.Now()
+	if response.Err != nil {
+		return response, false, followedByNothing
+	}
+	f = r.readFollowing(response)
+	if err := validateFollowing(response, f); err != nil {
+		return Response{Err: err, EndedAt: time.Now()}, false, f
+	}
+	return response, keepAlive, f
+}
+
 // readFollowing returns what has come right behind a response that was just read. It waits only for the rest of a
 // further response that has started, for the stall timeout at most.
 func (r *responseReader) readFollowing(response Response) following {
