Allow empty lines behind a request, and keep the scanner's place after OPTIONS *

What callers would have seen since: a client that sends an empty line behind the body of a POST, which RFC 9112 asks servers to ignore and net/http skips, got a 400 for a good request. And after OPTIONS *, which net/http answers without the handler, the scanner took the next request for a body.

Cause: requestScanner did not read all that net/http reads. Found by reading how net/http reads requests.

Change: empty lines before a head are skipped, and OPTIONS * goes through the handler, which answers 404.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -82,7 +82,7 @@
 	if remaining > 0 {
 		_ = socket.WaitForReadable(c.Conn) // the read of the byte returns the error
 	}
-	unread := make([]byte, remaining+maxRequestStart)
+	unread := make([]byte, remaining+maxEmptyLines+maxRequestStart)
 	return c.validateFollowing(unread[:socket.PeekBytes(c.Conn, unread)])
 }
 
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -15,7 +15,14 @@
 // maxRequestStart is the length of the longest of requestStarts.
 const maxRequestStart = len("CONNECT ")
 
-// mayStartRequest reports whether bytes may be the first ones of a request. There may be none.
+// emptyLines are the bytes of empty lines. Some clients send one behind the body of a POST request, and net/http skips
+// up to maxEmptyLines bytes there.
+const (
+	emptyLines    = "\r\n"
+	maxEmptyLines = 4
+)
+
+// mayStartRequest reports whether bytes may be the first ones of a request, empty lines excepted. There may be none.
 func mayStartRequest(first []byte) bool {
 	return slices.ContainsFunc(requestStarts, func(start []byte) bool {
 		return bytes.HasPrefix(start, first) || bytes.HasPrefix(first, start)
@@ -78,8 +85,12 @@
 	}
 }
 
-// addHead adds bytes up to the end of the head, which is an empty line, and returns the bytes behind it.
+// addHead adds bytes up to the end of the head, which is an empty line, and returns the bytes behind it. It skips empty
+// lines before the head.
 func (s *requestScanner) addHead(p []byte) []byte {
+	if s.startLength == 0 {
+		p = bytes.TrimLeft(p, emptyLines)
+	}
 	s.startLength += copy(s.start[s.startLength:], p)
 	for len(p) > 0 {
 		line, rest, isComplete := bytes.Cut(p, []byte{'\n'})
@@ -142,12 +153,15 @@
 	defer s.mu.Unlock()
 	switch s.state {
 	case scanBody:
-		unread = unread[min(int64(len(unread)), s.bodyRemaining):]
-		return !mayStartRequest(unread)
+		behindBody := unread[min(int64(len(unread)), s.bodyRemaining):]
+		return !mayStartRequest(bytes.TrimLeft(behindBody, emptyLines))
 	case scanImpossible:
 		return false
 	case scanHead, scanUnknown:
 	}
+	if s.startLength == 0 {
+		unread = bytes.TrimLeft(unread, emptyLines)
+	}
 	var first [maxRequestStart]byte
 	n := copy(first[:], s.start[:s.startLength])
 	n += copy(first[n:], unread)
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -93,6 +93,8 @@
 		ConnContext:    withConnection,
 		MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		// Each request passes through the handler, whose requestScanner would lose its place otherwise.
+		DisableGeneralOptionsHandler: true,
 	}
 	return s
 }
