Do not wait for more than the last byte of a body if the scanner has lost its place

A guard for a case that no test reaches: FuzzRequestScanner found no stream on which the scanner and net/http differ. Without it, such a request would wait until its timeout, and get a 408 instead of its response.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -79,7 +79,10 @@
 // that byte.
 func (c *connection) validateUnreadFollowing() error {
 	remaining := c.scanner.bodyBytesRemaining()
-	if remaining > 0 {
+	switch {
+	case remaining > 1: // the scanner has lost its place
+		return nil
+	case remaining == 1:
 		_ = socket.WaitForReadable(c.Conn) // the read of the byte returns the error
 	}
 	unread := make([]byte, remaining+maxEmptyLines+maxRequestStart)
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -55,7 +55,7 @@
 type scanState uint8
 
 const (
-	scanHead       scanState = iota // the status line or the header
+	scanHead       scanState = iota // the request line or the header
 	scanUnknown                     // the head is complete, and the length of the body is unknown
 	scanBody                        // the body
 	scanImpossible                  // the scanner and net/http disagree about where a request ends
