--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -183,15 +183,12 @@
 	return Closed
 }
 
-// peekBytes implements PeekBytes for a file descriptor. It retries a transient failure as retryTransient does, but
-// without a closure to allocate.
+// peekBytes implements PeekBytes for a file descriptor.
 func peekBytes(fd uintptr, buffer []byte) (n int, err error) {
-	for range maxRetries {
-		if n, _, err = recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT); !isTransient(err) {
-			break
-		}
-	}
-	return n, err
+	return retryTransient(func() (int, error) {
+		n, _, err := recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return n, err
+	})
 }
 
 // isHungUp reports whether the peer has closed its sending side or the connection has failed.
