Simplify requestScanner and readBody without a change of behaviour

requestScanner: the start of the next head is cleared when its body starts, so that isFollowedByOther needs no case for each state, and bodyRemaining is 0 outside a body, so that bodyBytesRemaining needs no state. readBody returns at each failure instead of nesting them. Two errors are made with badRequest, which the package already had.

--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -27,12 +27,9 @@
 	// errLoopStopped: the event loop has stopped, so no response will arrive.
 	errLoopStopped = errors.New("event loop stopped")
 	// errTooMuchUnread: the client has sent so many bytes after its request that a disconnect would not be detected.
-	errTooMuchUnread = &RequestError{Status: http.StatusBadRequest, Reason: "too much behind a request"}
+	errTooMuchUnread = badRequest("too much behind a request")
 	// errFollowedByOtherBytes: the bytes behind the request are no request, so that it may be cut.
-	errFollowedByOtherBytes = &RequestError{
-		Status: http.StatusBadRequest,
-		Reason: "bytes behind the request start no other request",
-	}
+	errFollowedByOtherBytes = badRequest("bytes behind the request start no other request")
 )
 
 // handler handles the application's requests.
--- a/internal/frontend/parse.go
+++ b/internal/frontend/parse.go
@@ -243,18 +243,21 @@
 func readBody(r *http.Request, conn *connection) ([]byte, error) {
 	body := make([]byte, r.ContentLength)
 	last := len(body) - 1
-	_, err := r.Body.Read(body[:0]) // sends 100 Continue if the client waits for it
-	if err == nil {
-		_, err = io.ReadFull(r.Body, body[:last])
+	if _, err := r.Body.Read(body[:0]); err != nil { // sends 100 Continue if the client waits for it
+		return nil, badBody(err)
 	}
-	if err == nil {
-		if err := conn.validateUnreadFollowing(); err != nil {
-			return nil, err
-		}
-		_, err = io.ReadFull(r.Body, body[last:])
+	if _, err := io.ReadFull(r.Body, body[:last]); err != nil {
+		return nil, badBody(err)
 	}
-	if err != nil {
-		return nil, &RequestError{Status: http.StatusBadRequest, Reason: "bad body", Err: err}
+	if err := conn.validateUnreadFollowing(); err != nil {
+		return nil, err
+	}
+	if _, err := io.ReadFull(r.Body, body[last:]); err != nil {
+		return nil, badBody(err)
 	}
 	return body, nil
 }
+
+func badBody(err error) error {
+	return &RequestError{Status: http.StatusBadRequest, Reason: "bad body", Err: err}
+}
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -39,7 +39,7 @@
 
 	// state is the part of a request to which the next byte belongs.
 	state scanState
-	// start holds the first bytes of the head that is being scanned, or was scanned last.
+	// start holds the first bytes behind the current request, that is, those of the next head until its startBody.
 	start       [maxRequestStart]byte
 	startLength int
 	// lineLength and lineStart are the length and the first byte of the current line of the head, without its LF.
@@ -47,7 +47,7 @@
 	lineStart  byte
 	// unscanned holds the bytes behind a head whose body has an unknown length.
 	unscanned []byte
-	// bodyRemaining is the number of bytes of the body that were not added.
+	// bodyRemaining is the number of bytes of the body that were not added; 0 unless state is scanBody.
 	bodyRemaining int64
 }
 
@@ -117,7 +117,7 @@
 	n := min(int64(len(p)), s.bodyRemaining)
 	s.bodyRemaining -= n
 	if s.bodyRemaining == 0 {
-		s.state, s.startLength = scanHead, 0
+		s.state = scanHead
 	}
 	return p[n:]
 }
@@ -127,10 +127,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state != scanUnknown || length < 0 {
-		s.state = scanImpossible
+		s.state, s.bodyRemaining = scanImpossible, 0
 		return
 	}
-	s.state, s.bodyRemaining = scanBody, length
+	s.state, s.bodyRemaining, s.startLength = scanBody, length, 0
 	behindHead := s.addBody(s.unscanned)
 	s.unscanned = s.unscanned[:0]
 	s.addLocked(behindHead) // the bytes move to the front of unscanned, if they are needed there
@@ -140,9 +140,6 @@
 func (s *requestScanner) bodyBytesRemaining() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state != scanBody {
-		return 0
-	}
 	return int(s.bodyRemaining)
 }
 
@@ -151,14 +148,10 @@
 func (s *requestScanner) isFollowedByOther(unread []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch s.state {
-	case scanBody:
-		behindBody := unread[min(int64(len(unread)), s.bodyRemaining):]
-		return !mayStartRequest(bytes.TrimLeft(behindBody, emptyLines))
-	case scanImpossible:
+	if s.state == scanImpossible {
 		return false
-	case scanHead, scanUnknown:
 	}
+	unread = unread[min(int64(len(unread)), s.bodyRemaining):]
 	if s.startLength == 0 {
 		unread = bytes.TrimLeft(unread, emptyLines)
 	}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -93,7 +93,7 @@
 		ConnContext:    withConnection,
 		MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:       slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-		// Each request passes through the handler, whose requestScanner would lose its place otherwise.
+		// Each request passes through the handler: the connection's requestScanner would lose its place otherwise.
 		DisableGeneralOptionsHandler: true,
 	}
 	return s
