Write the tests' twins once: faults by probability, delayed reads, cut lengths

withProbability replaces four copies of "change a response with a probability, or leave it". delayedConn replaces two wrappers of connections in the tests of upstream. reduceLength returns where the response ends by its stated length, so that restLater does not parse that again.

--- a/cmd/ashshunt/soak_network_test.go
+++ b/cmd/ashshunt/soak_network_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"regexp"
 	"slices"
-	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -59,6 +58,16 @@
 	lengthTooSmall, endedTooEarly, anotherResponseBefore, copyBehind,
 }
 
+// withProbability returns the function OnResponse of a network that changes some responses.
+func (s *soak) withProbability(probability float64, fault responseFault) func([]byte) []testutil.Segment {
+	return func(response []byte) []testutil.Segment {
+		if s.rng.drawBool(probability) {
+			return fault(s, response)
+		}
+		return []testutil.Segment{{Data: response}}
+	}
+}
+
 // drawResponseFault draws a fault for a response.
 func (s *soak) drawResponseFault(response []byte) responseFault {
 	faults := anyResponseFaults
@@ -102,34 +111,38 @@
 	return []testutil.Segment{{Data: append(response, response...)}}
 }
 
-// lengthTooSmall states a length that is too small for the body.
 func lengthTooSmall(s *soak, response []byte) []testutil.Segment {
-	head, body, _ := bytes.Cut(response, []byte("\r\n\r\n"))
-	if len(body) == 0 {
-		return []testutil.Segment{{Data: response}}
-	}
-	length := "Content-Length: " + strconv.Itoa(s.rng.drawInt(len(body)))
-	return []testutil.Segment{{Data: fmt.Appendf(nil, "%s\r\n\r\n%s", replaceLength(head, length), body)}}
+	changed, _ := s.reduceLength(response)
+	return []testutil.Segment{{Data: changed}}
 }
 
-// restLater states a length that is too small for the body, and sends the rest of the body in a write of its own.
-func restLater(s *soak, response []byte, delay time.Duration) []testutil.Segment {
-	segments := lengthTooSmall(s, response)
-	head, body, _ := bytes.Cut(segments[0].Data, []byte("\r\n\r\n"))
-	length, err := strconv.Atoi(string(contentLengthPattern.FindSubmatch(head)[1]))
-	if err != nil || length == len(body) {
-		return segments
-	}
-	end := len(segments[0].Data) - len(body) + length
+// restLater states a length that is too small, and sends the rest of the body in a write of its own.
+func (s *soak) restLater(response []byte, delay time.Duration) []testutil.Segment {
+	changed, end := s.reduceLength(response)
 	return []testutil.Segment{
-		{Data: segments[0].Data[:end]},
-		{Delay: delay, MaxDelay: delay + unrequestedMaxOverrun, Data: segments[0].Data[end:]},
+		{Data: changed[:end]},
+		{Delay: delay, MaxDelay: delay + unrequestedMaxOverrun, Data: changed[end:]},
+	}
+}
+
+// headEnd separates the head of a response from its body.
+const headEnd = "\r\n\r\n"
+
+// reduceLength returns a response whose stated length is too small for its body, and where it ends by that length. A
+// response without a body is returned unchanged.
+func (s *soak) reduceLength(response []byte) (changed []byte, end int) {
+	head, body, _ := bytes.Cut(response, []byte(headEnd))
+	if len(body) == 0 {
+		return response, len(response)
 	}
+	length := s.rng.drawInt(len(body))
+	head = replaceLength(head, fmt.Sprint("Content-Length: ", length))
+	return slices.Concat(head, []byte(headEnd), body), len(head) + len(headEnd) + length
 }
 
 // endedTooEarly sends the body in two chunks, with the last chunk between them.
 func endedTooEarly(s *soak, response []byte) []testutil.Segment {
-	head, body, _ := bytes.Cut(response, []byte("\r\n\r\n"))
+	head, body, _ := bytes.Cut(response, []byte(headEnd))
 	if len(body) < 2 {
 		return []testutil.Segment{{Data: response}}
 	}
@@ -143,7 +156,7 @@
 	return contentLengthPattern.ReplaceAllLiteral(head, []byte(header))
 }
 
-var contentLengthPattern = regexp.MustCompile(`Content-Length: (\d+)`)
+var contentLengthPattern = regexp.MustCompile(`Content-Length: \d+`)
 
 func informationalBefore(_ *soak, response []byte) []testutil.Segment {
 	return []testutil.Segment{{Data: []byte("HTTP/1.1 103 Early Hints\r\n\r\n")}, {Data: response}}
@@ -189,12 +202,9 @@
 				}
 				return []testutil.Segment{{Data: []byte("noise")}} // before any part of a response
 			},
-			OnResponse: func(response []byte) []testutil.Segment {
-				if s.rng.drawBool(networkFaultProbability) {
-					return s.drawResponseFault(response)(s, response)
-				}
-				return []testutil.Segment{{Data: response}}
-			},
+			OnResponse: s.withProbability(networkFaultProbability, func(s *soak, response []byte) []testutil.Segment {
+				return s.drawResponseFault(response)(s, response)
+			}),
 		},
 	}
 }
--- a/cmd/ashshunt/unrequested_response_test.go
+++ b/cmd/ashshunt/unrequested_response_test.go
@@ -53,12 +53,10 @@
 func TestPartsOfResponsesAreNotServed(t *testing.T) {
 	run := newUnrequestedRun(t)
 	faults := []responseFault{lengthTooSmall, endedTooEarly, anotherResponseBefore}
-	run.network.faults.OnResponse = func(response []byte) []testutil.Segment {
-		if run.rng.drawBool(unrequestedProbability) {
-			return faults[run.rng.drawInt(len(faults))](run, response)
-		}
-		return []testutil.Segment{{Data: response}}
-	}
+	run.network.faults.OnResponse = run.withProbability(unrequestedProbability,
+		func(s *soak, response []byte) []testutil.Segment {
+			return faults[s.rng.drawInt(len(faults))](s, response)
+		})
 	run.runRequests(requestsPerRun(t))
 	run.verifier.verify()
 }
@@ -76,12 +74,9 @@
 // responsesWithLateRest returns the function OnResponse of a network in which some lengths are too small, and the rest
 // of the body comes later. drawDelay draws the time between the two.
 func (s *soak) responsesWithLateRest(drawDelay func() time.Duration) func([]byte) []testutil.Segment {
-	return func(response []byte) []testutil.Segment {
-		if s.rng.drawBool(unrequestedProbability) {
-			return restLater(s, response, drawDelay())
-		}
-		return []testutil.Segment{{Data: response}}
-	}
+	return s.withProbability(unrequestedProbability, func(s *soak, response []byte) []testutil.Segment {
+		return s.restLater(response, drawDelay())
+	})
 }
 
 // A response that nobody asked for on a new connection, after the agent has sent its request there, must never count as
@@ -120,13 +115,9 @@
 // secondResponse returns the function OnResponse of a network that sometimes sends a second response. drawDelay draws
 // the time between the two.
 func (s *soak) secondResponse(drawDelay func() time.Duration) func([]byte) []testutil.Segment {
-	return func(response []byte) []testutil.Segment {
-		segments := []testutil.Segment{{Data: response}}
-		if s.rng.drawBool(unrequestedProbability) {
-			segments = append(segments, s.drawUnrequested(drawDelay()))
-		}
-		return segments
-	}
+	return s.withProbability(unrequestedProbability, func(s *soak, response []byte) []testutil.Segment {
+		return []testutil.Segment{{Data: response}, s.drawUnrequested(drawDelay())}
+	})
 }
 
 // drawUnrequested draws a response that belongs to no request.
--- a/internal/upstream/followed_test.go
+++ b/internal/upstream/followed_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -101,26 +100,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	return exchange(context.Background(), gatedConn{conn, written}, []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+	gated := delayedConn{conn, func() { <-written }}
+	return exchange(context.Background(), gated, []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
 		exchangeLimits{deadline: time.Now().Add(time.Hour), stallTimeout: time.Second})
 }
 
-// gatedConn is a connection whose reads wait until open is closed.
-type gatedConn struct {
-	net.Conn
-	open <-chan struct{}
-}
-
-func (c gatedConn) Read(p []byte) (int, error) {
-	<-c.open
-	return c.Conn.Read(p)
-}
-
-// SyscallConn implements syscall.Conn.
-func (c gatedConn) SyscallConn() (syscall.RawConn, error) {
-	return c.Conn.(syscall.Conn).SyscallConn() //nolint:forcetypeassert // the connections of the tests are sockets
-}
-
 // A load report must not be taken from a part of a response, in which a number may be cut.
 func TestCutLoadReportIsInvalid(t *testing.T) {
 	const text = "TEXT inflight=712"
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -208,3 +208,19 @@
 
 // write sends raw bytes. It ignores errors, since the client may have closed the connection.
 func write(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
+
+// delayedConn is a connection that calls beforeRead, which may block, before each read.
+type delayedConn struct {
+	net.Conn
+	beforeRead func()
+}
+
+func (c delayedConn) Read(p []byte) (int, error) {
+	c.beforeRead()
+	return c.Conn.Read(p)
+}
+
+// SyscallConn implements syscall.Conn.
+func (c delayedConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn() //nolint:forcetypeassert // the connections of the tests are sockets
+}
--- a/internal/upstream/unrequested_test.go
+++ b/internal/upstream/unrequested_test.go
@@ -213,26 +213,10 @@
 	}
 	conn := client.pool.takeIdle("s0", 0)
 	client.pool.mu.Lock()
-	conn.netConn = stalledConn{conn.netConn, 2 * lateWindow}
+	conn.netConn = delayedConn{conn.netConn, func() { time.Sleep(2 * lateWindow) }}
 	client.pool.mu.Unlock()
 	client.pool.release(conn)
 	if result, _ := client.Attempt(t.Context(), newUnsafeRequest(), "s0", options); result != balancer.Reset {
 		t.Errorf("got result %v, want a reset", result)
 	}
 }
-
-// stalledConn is a connection whose process is held up before each read.
-type stalledConn struct {
-	net.Conn
-	stall time.Duration
-}
-
-func (c stalledConn) Read(p []byte) (int, error) {
-	time.Sleep(c.stall)
-	return c.Conn.Read(p)
-}
-
-// SyscallConn implements syscall.Conn.
-func (c stalledConn) SyscallConn() (syscall.RawConn, error) {
-	return c.Conn.(syscall.Conn).SyscallConn() //nolint:forcetypeassert // the pool's connections are sockets
-}
