--- a/cmd/ashshunt/soak_client_test.go
+++ b/cmd/ashshunt/soak_client_test.go
@@ -20,10 +20,10 @@
 	connectTimeout = time.Second
 	// responseTimeout is how long after a request's deadline its client still waits for the response.
 	responseTimeout = 3 * time.Second
-	// maxIncompleteDuration is the time within which the agent must close the connection of an invalid request.
-	maxIncompleteDuration = 3 * time.Second
-	// incompleteTimeout is how long a client waits for the close after an invalid request.
-	incompleteTimeout = 10 * time.Second
+	// maxInvalidDuration is the time within which the agent must close the connection of an invalid request.
+	maxInvalidDuration = 3 * time.Second
+	// invalidTimeout is how long a client waits for the close after an invalid request.
+	invalidTimeout = 10 * time.Second
 )
 
 // lastRequestNumber is the number of the last request. All runs share it, so that request IDs are unique.
@@ -205,11 +205,11 @@
 	}
 	startedAt := time.Now()
 	// SetReadDeadline fails if the connection has ended, and so does the read.
-	_ = c.conn.SetReadDeadline(startedAt.Add(incompleteTimeout))
+	_ = c.conn.SetReadDeadline(startedAt.Add(invalidTimeout))
 	if _, err := c.in.ReadByte(); errors.Is(err, os.ErrDeadlineExceeded) {
-		c.soak.verifier.recordViolation(ruleIncomplete, fmt.Sprintf("%q: still open after %v", text, incompleteTimeout))
+		c.soak.verifier.recordViolation(ruleInvalid, fmt.Sprintf("%q: still open after %v", text, invalidTimeout))
 	}
-	c.soak.verifier.recordIncomplete(text, startedAt, time.Now())
+	c.soak.verifier.recordInvalid(text, startedAt, time.Now())
 }
 
 // runIdleClient connects without sending requests, and reconnects after each connection, until the run is stopped.
--- a/cmd/ashshunt/soak_verifier_test.go
+++ b/cmd/ashshunt/soak_verifier_test.go
@@ -24,8 +24,8 @@
 	ruleDrain rule = "drain"
 	// ruleAttemptTimeout: the timeout of an attempt does not exceed the remaining timeout of its request.
 	ruleAttemptTimeout rule = "attempt timeout"
-	// ruleIncomplete: the connection of an incomplete request is closed within maxIncompleteDuration.
-	ruleIncomplete rule = "incomplete request"
+	// ruleInvalid: the connection of an invalid request is closed within maxInvalidDuration.
+	ruleInvalid rule = "invalid request"
 	// ruleLog: the agent logs no internal errors.
 	ruleLog rule = "log"
 	// ruleCrash: each process of the agent exits with status 0 or is killed.
@@ -85,7 +85,7 @@
 	requests   map[string]*soakRequest
 	kills      []time.Time
 	stalls     []stall
-	incomplete []incompleteRequest
+	invalid    []invalidRequest
 	unanswered []string // lines of the log that report a missing final answer
 	violations []string
 }
@@ -130,15 +130,15 @@
 	v.stalls = append(v.stalls, stall{startedAt, endedAt})
 }
 
-// recordIncomplete records that the connection of an incomplete request was closed, or that its client got an error.
-func (v *soakVerifier) recordIncomplete(text string, startedAt, endedAt time.Time) {
+// recordInvalid records that the connection of an invalid request was closed, or that its client got an error.
+func (v *soakVerifier) recordInvalid(text string, startedAt, endedAt time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.incomplete = append(v.incomplete, incompleteRequest{text, startedAt, endedAt})
+	v.invalid = append(v.invalid, invalidRequest{text, startedAt, endedAt})
 }
 
-// incompleteRequest is a part of a request whose client waits for an error or the end of its connection.
-type incompleteRequest struct {
+// invalidRequest is an invalid request, or a part of one, whose client waits for an error or the end of its connection.
+type invalidRequest struct {
 	text               string
 	startedAt, endedAt time.Time
 }
--- a/cmd/ashshunt/soak_verify_test.go
+++ b/cmd/ashshunt/soak_verify_test.go
@@ -54,8 +54,8 @@
 		v.verifyResponse(r)
 		v.verifyAttempts(r)
 	}
-	for _, r := range v.incomplete {
-		v.verifyIncompleteLocked(r)
+	for _, r := range v.invalid {
+		v.verifyInvalidLocked(r)
 	}
 	if v.strict {
 		v.verifyFinalAnswersLocked()
@@ -66,12 +66,12 @@
 	}
 }
 
-// verifyIncompleteLocked verifies that the client of an incomplete request got its error, or the end of its connection,
-// within maxIncompleteDuration of the time for which the agent's process was not stopped. The caller holds the mutex.
-func (v *soakVerifier) verifyIncompleteLocked(r incompleteRequest) {
+// verifyInvalidLocked verifies that the client of an invalid request got its error, or the end of its connection,
+// within maxInvalidDuration of the time for which the agent's process was not stopped. The caller holds the mutex.
+func (v *soakVerifier) verifyInvalidLocked(r invalidRequest) {
 	elapsed, stalled := r.endedAt.Sub(r.startedAt), v.stalledLocked(r.startedAt, r.endedAt)
-	if elapsed-stalled > maxIncompleteDuration+v.slack {
-		v.recordViolationLocked(ruleIncomplete,
+	if elapsed-stalled > maxInvalidDuration+v.slack {
+		v.recordViolationLocked(ruleInvalid,
 			fmt.Sprintf("%q: closed after %v, of which the agent was stopped for %v", r.text, elapsed, stalled))
 	}
 }
