--- a/cmd/ashshunt/hostile_clients_test.go
+++ b/cmd/ashshunt/hostile_clients_test.go
@@ -34,8 +34,9 @@
 )
 
 const (
-	hostileEndpoints   = 12
-	hostileServiceTime = 5 * time.Millisecond
+	hostileEndpoints      = 12
+	hostileMinServiceTime = 2 * time.Millisecond
+	hostileMaxServiceTime = 20 * time.Millisecond
 	// hostileWait is how long a hostile client waits for the agent before it closes its connection.
 	hostileWait = 6 * time.Second
 	// maxBodySize is the size of the longest valid body.
@@ -121,10 +122,11 @@
 // means that they respond with the ID of the request.
 func startHostileRun(t *testing.T, binary string, responseSize int) (*hostileRun, agentProcess) {
 	t.Helper()
+	rng := newLockedRand(1)
 	var entries []string
 	for i := range hostileEndpoints {
 		addr := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
-			time.Sleep(hostileServiceTime)
+			time.Sleep(rng.drawDuration(hostileMinServiceTime, hostileMaxServiceTime))
 			_, _ = io.WriteString(w, r.Header.Get("X-Call-Id")) // an error means that the agent has disconnected
 			if r.URL.Path != wellBehavedPath {
 				_, _ = w.Write(make([]byte, max(0, responseSize-len(testutil.RequestID))))
--- a/cmd/ashshunt/wellbehaved_client_test.go
+++ b/cmd/ashshunt/wellbehaved_client_test.go
@@ -52,9 +52,11 @@
 }
 
 func (o *clientOutcomes) total() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	total := 0
-	for _, outcome := range []clientOutcome{outcomeServed, outcomeRejected, outcomeFailed, outcomeLost} {
-		total += o.count(outcome)
+	for _, count := range o.counts {
+		total += count
 	}
 	return total
 }
@@ -132,7 +134,7 @@
 	case response.StatusCode == http.StatusServiceUnavailable:
 		return outcomeRejected, nil
 	}
-	return outcomeFailed, nil
+	return clientOutcome(fmt.Sprint(outcomeFailed, " ", response.StatusCode)), nil
 }
 
 // connect opens a connection unless one is open, and sets its deadline.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 	"ashshunt/internal/clock"
 	"ashshunt/internal/config"
 	"ashshunt/internal/frontend"
+	"ashshunt/internal/membudget"
 	"ashshunt/internal/retry"
 	"ashshunt/internal/telemetry"
 )
@@ -30,6 +31,7 @@
 type Agent struct {
 	loop     *eventLoop
 	frontend *frontend.Server
+	budget   *membudget.Budget
 	log      *slog.Logger
 
 	acceptDuration time.Duration // tests may change it before Run
@@ -38,7 +40,8 @@
 // New returns an agent that listens on its address. It accepts no connections until Run is called.
 func New(c *config.Config, log *slog.Logger) (*Agent, error) {
 	agentClock := clock.New()
-	loop, err := newEventLoop(c, agentClock, log)
+	budget := membudget.New(c.MemoryBudget(), log)
+	loop, err := newEventLoop(c, agentClock, budget, log)
 	if err != nil {
 		return nil, err
 	}
@@ -46,8 +49,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for client connections: %w", err)
 	}
-	server := frontend.NewServer(listener, c, agentClock, loop, log)
-	return &Agent{loop: loop, frontend: server, log: log, acceptDuration: acceptDuration}, nil
+	server := frontend.NewServer(listener, c, agentClock, loop, budget, log)
+	return &Agent{loop: loop, frontend: server, budget: budget, log: log, acceptDuration: acceptDuration}, nil
 }
 
 // listen opens the listener. It retries transient failures.
@@ -112,8 +115,10 @@
 	return nil
 }
 
-// logStopped logs the end of a graceful shutdown with the totals of the connections to endpoints.
+// logStopped logs the end of a graceful shutdown with the totals of the connections to endpoints and the usage of
+// memory.
 func (a *Agent) logStopped() {
+	a.budget.LogUsage()
 	totals := a.loop.upstream.Totals()
 	a.log.Info(telemetry.MsgStopped,
 		"dials", totals.Dials,
--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -11,6 +11,7 @@
 	"ashshunt/internal/config"
 	"ashshunt/internal/discovery"
 	"ashshunt/internal/frontend"
+	"ashshunt/internal/membudget"
 	"ashshunt/internal/testutil"
 )
 
@@ -85,7 +86,8 @@
 // newTestLoop returns an event loop that is not running.
 func newTestLoop(t *testing.T) *eventLoop {
 	t.Helper()
-	l, err := newEventLoop(testutil.Config(t, "127.0.0.1:1"), clock.New(), testutil.NewLogger(&testutil.Log{}))
+	l, err := newEventLoop(testutil.Config(t, "127.0.0.1:1"), clock.New(), newBudget(),
+		testutil.NewLogger(&testutil.Log{}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -131,3 +133,8 @@
 	change(&options)
 	a.loop.discovery = discovery.New(options)
 }
+
+// newBudget returns a memory budget that does not limit a test.
+func newBudget() *membudget.Budget {
+	return membudget.New(256<<20, testutil.NewLogger(&testutil.Log{}))
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -13,6 +13,8 @@
 	"ashshunt/internal/config"
 	"ashshunt/internal/discovery"
 	"ashshunt/internal/endpoint"
+	"ashshunt/internal/frontend"
+	"ashshunt/internal/membudget"
 	"ashshunt/internal/telemetry"
 	"ashshunt/internal/upstream"
 )
@@ -56,11 +58,16 @@
 	shutdownDeadline time.Duration // all requests are answered by this time; 0: not shutting down
 }
 
-func newEventLoop(c *config.Config, agentClock clock.Clock, log *slog.Logger) (*eventLoop, error) {
-	// The module sheds queued requests before the number of open requests reaches the limit of the settings or the
-	// limit by descriptors, whichever is lower. The loop itself enforces only the limit of the settings.
+func newEventLoop(c *config.Config, agentClock clock.Clock, budget *membudget.Budget,
+	log *slog.Logger) (*eventLoop, error) {
+	// The module sheds queued requests before the number of open requests reaches the limit of the settings, the limit
+	// by descriptors or the limit by memory, whichever is lowest. The loop itself enforces only the limit of the
+	// settings, and the frontend that by memory.
 	moduleSettings := c.Settings
-	moduleSettings.MaxOpen = c.MaxOpenRequests()
+	moduleSettings.MaxOpen = frontend.MaxRequests(budget)
+	if limit := c.MaxOpenRequests(); limit > 0 {
+		moduleSettings.MaxOpen = min(limit, moduleSettings.MaxOpen)
+	}
 	moduleSettings.SubscribeSpread = discovery.SubscribeSpread
 	moduleSettings.RefusedSubscribeSpread = discovery.RefusedSubscribeSpread
 	module, err := balancer.New(moduleSettings, c.Seed)
--- a/internal/agent/messages.go
+++ b/internal/agent/messages.go
@@ -48,16 +48,22 @@
 	l.discovery.SetAddress(ctx, m.addr)
 }
 
-// post sends a message to the event loop. After the end of the loop the message is dropped.
-func (l *eventLoop) post(m message) {
+// post sends a message to the event loop, and reports whether it did. After the end of the loop the message is dropped.
+func (l *eventLoop) post(m message) bool {
 	select {
 	case l.messages <- m:
+		return true
 	case <-l.done:
+		return false
 	}
 }
 
 // Submit implements frontend.EventLoop.
-func (l *eventLoop) Submit(r *frontend.Request) { l.post(requestSubmitted{request: r}) }
+func (l *eventLoop) Submit(r *frontend.Request) {
+	if !l.post(requestSubmitted{request: r}) {
+		r.Memory.Release()
+	}
+}
 
 // Abandon implements frontend.EventLoop.
 func (l *eventLoop) Abandon(r *frontend.Request) { l.post(requestAbandoned{request: r}) }
--- a/internal/agent/openrequest.go
+++ b/internal/agent/openrequest.go
@@ -56,6 +56,7 @@
 			Body:           inbound.Body,
 			Lifetime:       lifetime,
 			IsClientGone:   inbound.IsClientGone,
+			Memory:         inbound.Memory,
 		},
 		cancelLifetime: cancelLifetime,
 	}
@@ -154,4 +155,5 @@
 	}
 	r.phase = phaseRemoved
 	delete(t.byID, r.id())
+	r.inbound.Memory.Release()
 }
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -14,11 +14,14 @@
 // in the table, so that a disconnect of its client does not abandon the open request with the same ID.
 func (l *eventLoop) handleSubmitted(inbound *frontend.Request) {
 	if l.requests.find(inbound.Event.ID) != nil {
-		inbound.Respond(frontend.Response{Status: http.StatusBadRequest, Body: []byte("this id is open already\n")})
+		answerUntracked(inbound, frontend.Response{
+			Status: http.StatusBadRequest,
+			Body:   []byte("this id is open already\n"),
+		})
 		return
 	}
 	if l.isAtRequestLimit() || l.isPastShutdownDeadline() {
-		inbound.Respond(frontend.Response{Status: http.StatusServiceUnavailable})
+		answerUntracked(inbound, frontend.Response{Status: http.StatusServiceUnavailable})
 		return
 	}
 	r := newTrackedRequest(inbound)
@@ -27,6 +30,12 @@
 	l.addEvent(inbound.Event)
 }
 
+// answerUntracked responds to a request that is not added to the table.
+func answerUntracked(inbound *frontend.Request, response frontend.Response) {
+	inbound.Respond(response)
+	inbound.Memory.Release()
+}
+
 // isAtRequestLimit reports whether the number of open requests has reached the limit of the settings. The limit by
 // descriptors is enforced by the decision module only (see newEventLoop).
 func (l *eventLoop) isAtRequestLimit() bool {
--- a/internal/agent/shutdown_test.go
+++ b/internal/agent/shutdown_test.go
@@ -241,7 +241,8 @@
 			t.Fatal(err)
 		}
 		_ = a.frontend.Close() // has served no connections
-		a.frontend = frontend.NewServer(failingCloseListener{listener}, config, a.loop.clock, a.loop, a.log)
+		a.frontend = frontend.NewServer(failingCloseListener{listener}, config, a.loop.clock, a.loop, a.budget,
+			a.log)
 		a.acceptDuration = 10 * time.Millisecond
 	})
 	client := testutil.Dial(t, a.Addr(), testutil.RawGet(id))
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -43,6 +43,28 @@
 	return limit
 }
 
+const (
+	bytesPerMiB = 1 << 20
+	// defaultMemoryMB is the memory that a process without a limit is assumed to have, in MiB.
+	defaultMemoryMB = 192
+)
+
+// The parts of the memory that clients and endpoints may use. The Go heap needs about as much again for the garbage
+// between two collections, and the process needs some 12 MiB without any client.
+const (
+	budgetParts      = 5
+	budgetPartsTotal = 16
+)
+
+// MemoryBudget returns how many bytes of memory clients and endpoints may use.
+func (c *Config) MemoryBudget() int64 {
+	memoryMB := int64(c.MaxMemoryMB)
+	if memoryMB == 0 {
+		memoryMB = defaultMemoryMB
+	}
+	return memoryMB * bytesPerMiB * budgetParts / budgetPartsTotal
+}
+
 // effectiveMaxDescriptors returns the lower of the configured limit (0: none) and the system's limit on open file
 // descriptors (math.MaxInt32 or more: none). Without a limit, clients could use up all descriptors and leave none for
 // discovery and endpoints.
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -20,6 +20,8 @@
 	lingerTimeout = 500 * time.Millisecond
 	// incompleteWriteTimeout bounds the write of the response to an incomplete request.
 	incompleteWriteTimeout = 500 * time.Millisecond
+	// evictionWriteTimeout bounds the write of the response to an evicted request. The accept loop waits for it.
+	evictionWriteTimeout = 5 * time.Millisecond
 	// maxLingerBytes bounds the number of bytes that are read and discarded before a connection is closed.
 	maxLingerBytes = 256 << 10
 )
@@ -28,12 +30,14 @@
 var continueStatusPrefix = []byte("HTTP/1.1 100 ")
 
 // connection is an accepted client connection. It leaves phaseIdle when the first byte of a request arrives, before
-// net/http parses the request. From then on the timeouts of the request apply instead of the idle timeout.
+// net/http parses the request. From then on the timeouts of the request apply instead of the idle timeout. net/http
+// reads a request only when its head is complete (headreader.go).
 type connection struct {
 	net.Conn
 	table      *connectionTable
 	acceptedAt time.Time
 	scanner    requestScanner
+	unread     []byte          // read from the socket, but not by the caller of Read; used only by that goroutine
 	state      connectionState // guarded by table.mu
 }
 
@@ -52,11 +56,33 @@
 }
 
 // Read implements net.Conn. It removes an idle connection from the idle list before it reads any bytes. Otherwise a
-// connection whose request has just been read, and which has no unread bytes any more, could be closed as idle.
+// connection whose request has just been read, and which has no unread bytes any more, could be closed as idle. It
+// returns bytes of a head only when the head is complete.
 func (c *connection) Read(p []byte) (int, error) {
 	if err := c.waitForFirstByte(); err != nil {
 		return 0, err
 	}
+	if err := c.readHead(); err != nil {
+		return 0, err
+	}
+	if len(c.unread) > 0 {
+		return c.takeUnread(p), nil
+	}
+	return c.readSocket(p)
+}
+
+// takeUnread copies bytes to p that were read from the socket before.
+func (c *connection) takeUnread(p []byte) int {
+	n := copy(p, c.unread)
+	c.unread = c.unread[n:]
+	if len(c.unread) == 0 {
+		c.unread = nil // frees the memory
+	}
+	return n
+}
+
+// readSocket reads from the socket.
+func (c *connection) readSocket(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if rejected := c.recordRead(n); rejected != nil {
 		return 0, rejected
@@ -91,7 +117,7 @@
 
 // waitForFirstByte blocks until an idle connection has bytes to read, and moves it to phaseReading.
 func (c *connection) waitForFirstByte() error {
-	if c.isIdle() {
+	if len(c.unread) == 0 && c.isIdle() {
 		if err := socket.WaitForReadable(c.Conn); err != nil {
 			return err
 		}
@@ -134,18 +160,24 @@
 // client has disconnected.
 func (c *connection) writeRejection(status int) {
 	_ = c.SetWriteDeadline(time.Now().Add(incompleteWriteTimeout))
-	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-		status, http.StatusText(status))
+	_, _ = c.Conn.Write(rejectionText(status))
 	socket.CloseWrite(c.Conn)
 	_ = c.Conn.SetReadDeadline(time.Now())
 }
 
+// rejectionText returns a response without a body, behind which the connection is closed.
+func rejectionText(status int) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		status, http.StatusText(status))
+}
+
 // Close closes the connection and releases its slot. Closing a socket with unread bytes resets the connection, and a
 // response that is still in transit is lost. If there are such bytes, or if they may arrive because an incomplete
 // request was rejected, the connection is closed in the background, after the sending side has been closed and incoming
 // bytes have been discarded.
 func (c *connection) Close() error {
 	previous := c.startClose()
+	c.releaseMemory()
 	if previous == phaseClosing {
 		return c.Conn.Close()
 	}
@@ -161,7 +193,18 @@
 func (c *connection) lingerAndClose() {
 	socket.CloseWrite(c.Conn)
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	c.table.startLinger(c) // from now on the table may end the wait
 	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+	c.table.endLinger(c)
+	_ = c.finishClose()
+}
+
+// evict closes a connection in phaseClosing whose client has stalled within a request. A client that has sent a part of
+// a request is told to retry; there are no unread bytes, so that the response is not lost. Errors are ignored, since
+// the connection is closed regardless.
+func (c *connection) evict() {
+	_ = c.SetWriteDeadline(time.Now().Add(evictionWriteTimeout))
+	_, _ = c.Conn.Write(rejectionText(http.StatusServiceUnavailable))
 	_ = c.finishClose()
 }
 
--- a/internal/frontend/connectionstate.go
+++ b/internal/frontend/connectionstate.go
@@ -1,11 +1,11 @@
 package frontend
 
 import (
-	"container/list"
 	"net"
 	"net/http"
 	"time"
 
+	"ashshunt/internal/membudget"
 	"ashshunt/internal/socket"
 )
 
@@ -28,8 +28,9 @@
 	// closed at any time while it is on the list. A connection that is found to have unread bytes is removed from the
 	// list.
 	phaseIdle phase = iota
-	// phaseReading: a request has started and is incomplete. The connection is in the table's set of incomplete
-	// requests. The request's timer replaces the read deadlines that net/http sets.
+	// phaseReading: a request has started and is incomplete. The connection is in the table's list of incomplete
+	// requests. The request's timer replaces the read deadlines that net/http sets. A connection whose client has
+	// stalled may be closed at any time, to free its slot or memory for another client.
 	phaseReading
 	// phaseServing: a request is complete, or is getting an error response. A connection that came directly from
 	// phaseIdle is still on the idle list.
@@ -48,9 +49,8 @@
 	nextRequestStarted bool            // bytes of the next request were read while a request was being served
 	request            requestProgress // progress of the request that is being read
 
-	// Only idleList writes the following fields.
-	idleElement *list.Element // element of the table's idle list; nil if not in the list
-	idleSince   time.Time     // time at which the connection was added to the idle list
+	handlerMemory *membudget.Reservation // memory of net/http for the connection; nil before it is handed over
+	requestMemory *membudget.Reservation // memory of the request that is being read; nil if its handler holds it
 }
 
 // isFinished reports whether the connection can't serve any more requests.
@@ -72,8 +72,22 @@
 	readCount  int         // reads that returned bytes of the request
 	lastReadAt time.Time   // time of the last such read
 	timer      *time.Timer // rejects the request; nil before the first request
+
+	bytesSinceProgress int       // bytes that were read since the client last made progress
+	headAt             time.Time // time at which the head was complete; zero before
+	isWhole            bool      // the head is complete, and no body follows
+	isWaiting          bool      // the request waits for memory
+	hasWaited          bool      // the request has waited for memory
+	bodyMemory         int64     // reserved bytes for the body
 }
 
+// minProgressBytes is the number of bytes that count as progress of a client. Fewer bytes do not keep a slow client
+// from being evicted.
+const minProgressBytes = 1 << 10
+
+// isStallable reports whether a lack of progress is due to the client.
+func (p *requestProgress) isStallable() bool { return !p.isWhole && !p.isWaiting }
+
 // remaining returns the time until the request must be rejected; zero or less if it must be rejected now. It is called
 // when the request's timer has fired. A request with at most one read has stalled by then. For a request with several
 // reads, Timeouts.ReadStall counts from the last read, and Timeouts.ReadTotal bounds the request as a whole.
@@ -100,10 +114,76 @@
 // The methods below examine the state of a connection or handle its events. Each locks the table's mutex, except for
 // startCloseIfShuttingDown, whose caller holds it.
 
-func (c *connection) isIdle() bool {
+func (c *connection) isIdle() bool { return c.isIn(phaseIdle) }
+
+func (c *connection) isReading() bool { return c.isIn(phaseReading) }
+
+func (c *connection) isIn(p phase) bool {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.state.phase == p
+}
+
+// recordHead records that the head of the request that is being read is complete. It returns false if that is recorded
+// already, or if no request is being read. isWhole says whether the request has no body.
+func (c *connection) recordHead(now time.Time, isWhole bool) (recorded bool) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if c.state.phase != phaseReading || !c.state.request.headAt.IsZero() {
+		return false
+	}
+	c.state.request.headAt = now
+	c.state.request.isWhole = isWhole
+	return true
+}
+
+// headTimes returns the time at which the head of the current request was complete, and whether the request has waited
+// for memory since. The time is zero if the head was read together with the previous request.
+func (c *connection) headTimes() (headAt time.Time, hasWaited bool) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.state.request.headAt, c.state.request.hasWaited
+}
+
+// setWaiting records whether the request waits for memory.
+func (c *connection) setWaiting(isWaiting bool) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.state.request.isWaiting = isWaiting
+	c.state.request.hasWaited = true
+	if isWaiting {
+		c.table.waiting++
+	} else {
+		c.table.waiting--
+	}
+}
+
+// recordBodyMemory records that memory for the body of the request is reserved.
+func (c *connection) recordBodyMemory(bytes int64) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
-	return c.state.phase == phaseIdle
+	c.state.request.bodyMemory = bytes
+}
+
+// setHandlerMemory makes the connection the holder of the memory of net/http. It reports false if the connection is
+// finished.
+func (c *connection) setHandlerMemory(memory *membudget.Reservation) bool {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if c.state.isFinished() {
+		return false
+	}
+	c.state.handlerMemory = memory
+	return true
+}
+
+// takeMemory returns the reservations that the connection holds. The caller becomes their holder.
+func (c *connection) takeMemory() (handler, request *membudget.Reservation) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	handler, request = c.state.handlerMemory, c.state.requestMemory
+	c.state.handlerMemory, c.state.requestMemory = nil, nil
+	return handler, request
 }
 
 // handleReadable handles the arrival of bytes, which starts a request on an idle connection. It returns net.ErrClosed
@@ -128,8 +208,7 @@
 	switch c.state.phase {
 	case phaseReading:
 		if n > 0 {
-			c.state.request.readCount++
-			c.state.request.lastReadAt = time.Now()
+			c.recordProgress(n, time.Now())
 		}
 	case phaseServing:
 		if n > 0 { // net/http reads ahead to detect a disconnect
@@ -142,6 +221,18 @@
 	return nil
 }
 
+// recordProgress records that n bytes of a request have been read. The caller holds the table's mutex.
+func (c *connection) recordProgress(n int, now time.Time) {
+	request := &c.state.request
+	request.readCount++
+	request.lastReadAt = now
+	request.bytesSinceProgress += n
+	if request.bytesSinceProgress >= minProgressBytes {
+		request.bytesSinceProgress = 0
+		c.table.incomplete.add(c, now)
+	}
+}
+
 // startResponse moves the connection to phaseServing. It is called when a request is complete or is about to get an
 // error response. It reports false if the request was rejected, or the connection closed, in the meantime; then no
 // response may be written.
@@ -162,6 +253,18 @@
 	return c.state.phase == phaseReading || c.state.phase == phaseServing
 }
 
+// rejectCurrent moves the connection to phaseRejected if a request is being read, and reports whether it did so. The
+// caller then writes the response.
+func (c *connection) rejectCurrent() bool {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if c.state.phase != phaseReading {
+		return false
+	}
+	c.enterRejected()
+	return true
+}
+
 // rejectIncomplete moves the connection to phaseRejected if the request with the given number is still incomplete, and
 // reports whether it did so. The caller then writes the response.
 func (c *connection) rejectIncomplete(number int) bool {
@@ -182,7 +285,11 @@
 	if !c.state.isReading(number) {
 		return false
 	}
-	if remaining := c.state.request.remaining(c.table.timeouts); remaining > 0 {
+	remaining := c.state.request.remaining(c.table.timeouts)
+	if !c.state.request.isStallable() {
+		remaining = max(remaining, minReadTimeout)
+	}
+	if remaining > 0 {
 		c.startRequestTimer(remaining)
 		return false
 	}
@@ -207,8 +314,7 @@
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	switch state {
-	case http.StateNew:
-		c.enterIdleOrReading()
+	case http.StateNew: // the table has added the connection to the idle list
 	case http.StateActive:
 		if c.state.phase == phaseIdle { // the request was read together with the previous one
 			c.enterReading()
@@ -235,10 +341,10 @@
 
 // enterIdleOrReading moves a connection without an open request to phaseReading if its next request has started, and
 // otherwise to phaseIdle. It leaves a connection that is on the idle list unchanged: net/http never reports a
-// connection as idle twice in a row, but the list must not hold one twice whatever the order of the reports.
+// connection as idle twice in a row, but its idle time must not start again whatever the order of the reports.
 func (c *connection) enterIdleOrReading() {
 	switch {
-	case c.state.isFinished() || c.state.idleElement != nil:
+	case c.state.isFinished() || c.table.idle.contains(c):
 	case c.state.nextRequestStarted:
 		c.enterReading()
 	default:
@@ -250,7 +356,7 @@
 func (c *connection) enterIdle() {
 	c.exitReading()
 	c.state.phase = phaseIdle
-	c.table.idle.add(c)
+	c.table.idle.add(c, time.Now())
 }
 
 // enterReading handles the first byte of a request and starts the request's timer. For the first request of a
@@ -260,12 +366,13 @@
 	if !c.state.hadRequest {
 		timeout = max(minReadTimeout, timeout-time.Since(c.acceptedAt))
 	}
+	now := time.Now()
 	c.table.idle.remove(c)
-	c.table.incomplete[c] = struct{}{}
+	c.table.incomplete.add(c, now)
 	c.state.phase = phaseReading
 	c.state.hadRequest = true
 	c.state.nextRequestStarted = false
-	c.state.request = requestProgress{number: c.state.request.number + 1, startedAt: time.Now()}
+	c.state.request = requestProgress{number: c.state.request.number + 1, startedAt: now}
 	c.startRequestTimer(timeout)
 	_ = c.Conn.SetReadDeadline(time.Time{}) // clears the idle timeout; fails only if the connection is closed
 }
@@ -288,10 +395,10 @@
 	c.state.phase = phaseClosing
 }
 
-// exitReading stops the request's timer and removes the connection from the set of incomplete requests. It does nothing
-// in phases other than phaseReading.
+// exitReading stops the request's timer and removes the connection from the list of incomplete requests. It does
+// nothing in phases other than phaseReading.
 func (c *connection) exitReading() {
-	delete(c.table.incomplete, c)
+	c.table.incomplete.remove(c)
 	c.state.request.stopTimer()
 }
 
--- a/internal/frontend/connectionstate_test.go
+++ b/internal/frontend/connectionstate_test.go
@@ -73,7 +73,7 @@
 func runPhaseSteps(t *testing.T, steps []phaseStep) {
 	t.Helper()
 	timeouts := &Timeouts{ReadStall: testutil.Timeout, ReadTotal: testutil.Timeout}
-	table := newConnectionTable(0, timeouts)
+	table := newConnectionTable(0, timeouts, newBudget())
 	c := pipeConnection(t, table)
 	for _, step := range steps {
 		step.event(c)
@@ -81,12 +81,12 @@
 			t.Fatalf("%s: got phase %d, want %d", step.name, c.state.phase, step.want)
 		}
 		wantListed := step.want == phaseIdle || step.isListed
-		if idle := c.state.idleElement != nil; idle != wantListed || idle != (table.idle.len() == 1) {
-			t.Errorf("%s: got idleElement set: %v, and %d in the idle list, want what the phase requires",
+		if idle := table.idle.contains(c); idle != wantListed || idle != (table.idle.len() == 1) {
+			t.Errorf("%s: got in the idle list: %v, and %d in it, want what the phase requires",
 				step.name, idle, table.idle.len())
 		}
-		if _, incomplete := table.incomplete[c]; incomplete != (step.want == phaseReading) {
-			t.Errorf("%s: got in the set of incomplete requests %v, want the opposite", step.name, incomplete)
+		if incomplete := table.incomplete.contains(c); incomplete != (step.want == phaseReading) {
+			t.Errorf("%s: got in the list of incomplete requests %v, want the opposite", step.name, incomplete)
 		}
 	}
 }
@@ -112,20 +112,32 @@
 	}
 }
 
-// The idle list preserves its order. A connection may be removed during the iteration, and may be removed twice.
-func TestIdleList(t *testing.T) {
-	var idle idleList
+// A list of connections preserves its order. A connection may be removed during the iteration, and may be removed
+// twice. One that is added again moves to the end.
+func TestConnectionList(t *testing.T) {
+	var listed connectionList
 	first, second, third := &connection{}, &connection{}, &connection{}
 	for _, c := range []*connection{first, second, third} {
-		idle.add(c)
+		listed.add(c, time.Now())
 	}
-	for c := range idle.all() {
+	for c := range listed.all() {
 		if c == second {
-			idle.remove(c)
-			idle.remove(c)
+			listed.remove(c)
+			listed.remove(c)
 		}
 	}
-	if left := slices.Collect(idle.all()); !slices.Equal(left, []*connection{first, third}) || idle.len() != 2 {
-		t.Errorf("got %d connections, want the first and the third in this order", idle.len())
+	if left := connectionsOf(&listed); !slices.Equal(left, []*connection{first, third}) || listed.len() != 2 {
+		t.Errorf("got %d connections, want the first and the third in this order", listed.len())
 	}
+	listed.add(first, time.Now())
+	if left := connectionsOf(&listed); !slices.Equal(left, []*connection{third, first}) || listed.len() != 2 {
+		t.Errorf("got %d connections, want the third and the first in this order", listed.len())
+	}
+}
+
+func connectionsOf(list *connectionList) (connections []*connection) {
+	for c := range list.all() {
+		connections = append(connections, c)
+	}
+	return connections
 }
--- a/internal/frontend/connectiontable.go
+++ b/internal/frontend/connectiontable.go
@@ -7,43 +7,50 @@
 	"sync"
 	"time"
 
+	"ashshunt/internal/membudget"
 	"ashshunt/internal/socket"
 )
 
-// minSlotRetryInterval is the minimum wait between two attempts to free a slot. It prevents a busy loop.
-const minSlotRetryInterval = time.Millisecond
-
 // connectionTable holds the open connections of a listener and limits their number: each connection occupies one of
 // maxOpen slots until it is closed. Each holds a descriptor, and clients that stay silent, or keep their connection
 // after one request, could otherwise use up all descriptors. The mutex also guards the states of the connections. It is
 // never held during I/O that may block.
 type connectionTable struct {
-	maxOpen  int           // maximum number of open connections; 0: no limit
-	timeouts *Timeouts     // the timeouts of the Server
+	maxOpen  int       // maximum number of open connections; 0: no limit
+	timeouts *Timeouts // the timeouts of the Server
+	budget   *membudget.Budget
 	released chan struct{} // receives a value when a connection is closed; each value wakes one waiter only
 
 	mu            sync.Mutex
-	open          int                      // number of connections that hold a descriptor
-	closeWhenIdle bool                     // set during a shutdown: close each connection once its response is written
-	idle          idleList                 // connections in phaseIdle; idleList documents the exceptions
-	incomplete    map[*connection]struct{} // connections in phaseReading
-}
-
-func newConnectionTable(maxOpen int, timeouts *Timeouts) *connectionTable {
+	open          int  // number of connections that hold a descriptor
+	closeWhenIdle bool // set during a shutdown: close each connection once its response is written
+	waiting       int  // number of requests that wait for memory
+	reclaiming    bool // reclaimMemory runs
+	// idle holds the connections in phaseIdle in the order in which they became idle, with two exceptions. A connection
+	// that is found to have unread bytes is removed early. A connection that gets a response to a malformed request
+	// without having been read again is in phaseServing and still in the list.
+	idle       connectionList
+	incomplete connectionList // connections in phaseReading, by the time at which their clients last made progress
+	lingering  connectionList // connections in phaseClosing whose incoming bytes are discarded
+}
+
+func newConnectionTable(maxOpen int, timeouts *Timeouts, budget *membudget.Budget) *connectionTable {
 	return &connectionTable{
-		maxOpen:    maxOpen,
-		timeouts:   timeouts,
-		released:   make(chan struct{}, 1),
-		incomplete: map[*connection]struct{}{},
+		maxOpen:  maxOpen,
+		timeouts: timeouts,
+		budget:   budget,
+		released: make(chan struct{}, 1),
 	}
 }
 
-// add counts an accepted connection as open, and wraps it.
+// add counts an accepted connection as open and idle, and wraps it.
 func (t *connectionTable) add(accepted net.Conn) *connection {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.open++
-	return &connection{Conn: socket.NewConn(accepted), table: t, acceptedAt: time.Now()}
+	c := &connection{Conn: socket.NewConn(accepted), table: t, acceptedAt: time.Now()}
+	c.enterIdle()
+	return c
 }
 
 // release frees the slot of a connection that has been closed.
@@ -68,67 +75,19 @@
 	return t.open, t.idle.len()
 }
 
-// isNearLimit reports whether more than half of the allowed connections are open. Each connection is then closed after
-// its response: clients that keep their connection after one request could otherwise hold all slots until their
-// connections may be reclaimed. The cost is that clients with further requests have to reconnect.
+// isNearLimit reports whether more than half of the allowed connections are open, or net/http has more than half of its
+// memory in use. Each connection is then closed after its response: clients that keep their connection after one
+// request could otherwise hold all slots until their connections may be reclaimed. The cost is that clients with
+// further requests have to reconnect.
 func (t *connectionTable) isNearLimit() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.maxOpen > 0 && t.open > t.maxOpen/2
+	return t.budget.IsNearLimit(membudget.Handlers) || t.hasManyOpen()
 }
 
-// ensureSlot ensures that one more connection may be opened, and closes an idle connection if that is necessary. If
-// there is none to close, it returns the time to wait before the next call. It does not reserve the slot, which is safe
-// because a single goroutine accepts connections.
-func (t *connectionTable) ensureSlot(now time.Time) (wait time.Duration, ok bool) {
-	reclaimed, wait, ok := t.tryReclaimSlot(now)
-	if reclaimed != nil {
-		_ = reclaimed.finishClose() // the descriptor is released even if this returns an error
-	}
-	return wait, ok
-}
-
-// tryReclaimSlot implements ensureSlot, except that the caller must close the reclaimed connection, if there is one.
-func (t *connectionTable) tryReclaimSlot(now time.Time) (reclaimed *connection, wait time.Duration, ok bool) {
+// hasManyOpen reports whether more than half of the allowed connections are open.
+func (t *connectionTable) hasManyOpen() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.maxOpen == 0 || t.open < t.maxOpen {
-		return nil, 0, true
-	}
-	reclaimed, wait = t.reclaimIdle(now)
-	if reclaimed == nil {
-		return nil, max(wait, minSlotRetryInterval), false
-	}
-	return reclaimed, 0, true
-}
-
-// reclaimIdle selects the connection that has been idle longest, among those that may be reclaimed and have no unread
-// bytes, moves it to phaseClosing and returns it. If there is none, wait is the time until the next connection may be
-// reclaimed. Connections that are found with unread bytes are removed from the idle list. The caller holds the mutex.
-func (t *connectionTable) reclaimIdle(now time.Time) (reclaimed *connection, wait time.Duration) {
-	wait = t.timeouts.ReclaimIdle
-	for c := range t.idle.all() {
-		minIdle := t.minIdleDuration(c)
-		if idle := now.Sub(c.state.idleSince); idle < minIdle {
-			wait = min(wait, minIdle-idle)
-			continue
-		}
-		if socket.HasUnread(c.Conn) { // a request has arrived and is not read yet
-			t.idle.remove(c)
-			continue
-		}
-		c.enterClosing()
-		return c, 0
-	}
-	return nil, wait
-}
-
-// minIdleDuration returns how long a connection must have been idle before it may be reclaimed.
-func (t *connectionTable) minIdleDuration(c *connection) time.Duration {
-	if c.state.hadRequest {
-		return t.timeouts.ReclaimIdle
-	}
-	return t.timeouts.ReclaimUnused
+	return t.maxOpen > 0 && t.open > t.maxOpen/2
 }
 
 // closeUsedIdle implements Server.CloseUsedIdle.
@@ -176,8 +135,8 @@
 func (t *connectionTable) incompleteRequests() map[*connection]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	numbers := make(map[*connection]int, len(t.incomplete))
-	for c := range t.incomplete {
+	numbers := make(map[*connection]int, t.incomplete.len())
+	for c := range t.incomplete.all() {
 		numbers[c] = c.state.request.number
 	}
 	return numbers
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -9,6 +9,7 @@
 	"ashshunt/balancer"
 	"ashshunt/internal/clock"
 	"ashshunt/internal/config"
+	"ashshunt/internal/membudget"
 	"ashshunt/internal/protocol"
 	"ashshunt/internal/socket"
 )
@@ -17,6 +18,9 @@
 // net/http does not detect.
 const disconnectPollInterval = 100 * time.Millisecond
 
+// minResponseWriteTimeout is the time that a client has at least to read a response.
+const minResponseWriteTimeout = 100 * time.Millisecond
+
 // The reasons, besides a malformed request, why a request gets no response from the event loop.
 var (
 	// errDisconnected: the client has closed its connection.
@@ -65,12 +69,17 @@
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	connectionOf(r).scanner.startBody(r.ContentLength)
+	conn := connectionOf(r)
+	conn.scanner.startBody(r.ContentLength)
+	_ = conn.SetWriteDeadline(time.Time{}) // that of the previous response; fails only if the connection is closed
 	if r.URL.Path == protocol.HealthPath {
 		h.serveHealth(w)
 		return
 	}
-	response, err := h.handleRequest(r)
+	memory := conn.takeRequestMemory()
+	defer memory.Release()
+	response, err := h.handleRequest(r, memory)
+	_ = conn.SetWriteDeadline(h.writeDeadline(response)) // fails only if the connection is closed
 	if err != nil {
 		h.handleError(w, r, err)
 		return
@@ -81,14 +90,27 @@
 	writeResponse(w, response)
 }
 
-// handleRequest reads a request, submits it to the event loop and returns the loop's response.
-func (h *handler) handleRequest(r *http.Request) (Response, error) {
-	request, err := h.readRequest(r)
+// handleRequest reads a request, submits it to the event loop and returns the loop's response. memory is held by the
+// caller until the response is written, and by the loop until the request and its attempts are finished.
+func (h *handler) handleRequest(r *http.Request, memory *membudget.Reservation) (Response, error) {
+	request, err := h.readRequest(r, memory)
 	if err != nil {
-		return Response{}, err
+		return Response{}, asRequestError(err)
 	}
+	memory.Hold()
 	h.loop.Submit(request)
-	return h.waitForResponse(r, request)
+	response, err := h.waitForResponse(r, request)
+	response.writeUntil = h.clock.ToTime(request.Deadline).Add(h.timeouts.ResponseWrite)
+	return response, err
+}
+
+// writeDeadline returns the time by which a client must have read a response. It leaves some time for the write itself.
+func (h *handler) writeDeadline(response Response) time.Time {
+	earliest := time.Now().Add(minResponseWriteTimeout)
+	if response.writeUntil.After(earliest) {
+		return response.writeUntil
+	}
+	return earliest
 }
 
 // handleError handles a request that gets no response from the event loop. It writes a response if err is a
@@ -109,8 +131,9 @@
 }
 
 // readRequest reads a complete request. The client's timeout counts from the last byte of the request.
-func (h *handler) readRequest(r *http.Request) (*Request, error) {
-	arrived := time.Now()
+func (h *handler) readRequest(r *http.Request, memory *membudget.Reservation) (*Request, error) {
+	conn := connectionOf(r)
+	arrived := conn.headArrival(time.Now())
 	if err := validateFraming(r); err != nil {
 		return nil, err
 	}
@@ -118,12 +141,15 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := connectionOf(r)
+	request.Memory = memory
+	if err := conn.waitForMemory(memory, membudget.Requests, requestBytes); err != nil {
+		return nil, err
+	}
 	if r.ContentLength == 0 {
 		err = conn.validateFollowing(nil) // net/http may be reading ahead
 	} else {
-		request.Body, err = readBody(r, conn)
-		arrived = time.Now()
+		request.Body, err = readBody(r, conn, memory)
+		arrived = conn.bodyArrival(time.Now())
 	}
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/frontend/headreader.go
@@ -0,0 +1,129 @@
+package frontend
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"ashshunt/internal/protocol"
+	"ashshunt/internal/socket"
+)
+
+const (
+	// maxHeadFields is the maximum number of header fields. Each costs far more memory once it is parsed than on the
+	// wire.
+	maxHeadFields = 100
+	// headLinesWithoutField are the request line and the empty line at the end.
+	headLinesWithoutField = 2
+	// maxHeadLength is the maximum number of bytes of a head. net/http applies the same limit.
+	maxHeadLength = maxHeaderBytes + 4<<10
+	// headReadSize is the number of bytes that are read at a time while a head is incomplete.
+	headReadSize = 4 << 10
+)
+
+// headBuffers holds unused buffers for reads of heads. A connection that waits for bytes has none.
+var headBuffers = sync.Pool{New: func() any { return new([headReadSize]byte) }}
+
+// readHead reads until the head of the request that is being read is complete, and reserves the memory for the request.
+// It does nothing if no head is being read. If the head is invalid, or if there is no memory left, it responds to the
+// request and returns net.ErrClosed.
+//
+// A head is thus parsed only when it is complete, valid in size and paid for. Until then a slow client costs its bytes.
+func (c *connection) readHead() error {
+	for c.isReading() {
+		head := c.scanner.head()
+		if status := validateHeadSize(head); status != 0 {
+			return c.rejectHead(status)
+		}
+		if !c.reserveHead(head.length) {
+			return c.rejectHead(http.StatusServiceUnavailable)
+		}
+		if head.isComplete {
+			return c.completeHead()
+		}
+		if err := c.readHeadBytes(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// validateHeadSize returns the status with which the request is rejected because of its head, or 0.
+func validateHeadSize(head headState) (status int) {
+	switch {
+	case !head.isComplete && !head.isRequest:
+		return http.StatusBadRequest
+	case head.length > maxHeadLength || head.lines > maxHeadFields+headLinesWithoutField:
+		return http.StatusRequestHeaderFieldsTooLarge
+	}
+	return 0
+}
+
+// readHeadBytes waits for further bytes and reads them.
+func (c *connection) readHeadBytes() error {
+	if err := socket.WaitForReadable(c.Conn); err != nil {
+		return err
+	}
+	buffer, ok := headBuffers.Get().(*[headReadSize]byte)
+	if !ok {
+		buffer = new([headReadSize]byte)
+	}
+	defer headBuffers.Put(buffer)
+	n, err := c.readSocket(buffer[:])
+	c.unread = append(c.unread, buffer[:n]...)
+	if n > 0 {
+		return nil // an error occurs again with the next read
+	}
+	return err
+}
+
+// rejectHead responds to a request whose head is invalid or can't be kept.
+func (c *connection) rejectHead(status int) error {
+	c.unread = nil
+	if c.rejectCurrent() {
+		c.writeRejection(status)
+	}
+	return net.ErrClosed
+}
+
+// completeHead handles the end of a head: it reserves the memory for the body.
+func (c *connection) completeHead() error {
+	length := statedBodyLength(c.unread)
+	if !c.recordHead(time.Now(), length == 0) {
+		return nil
+	}
+	if err := c.reserveBody(c.requestMemory(), length); err != nil {
+		return c.rejectHead(http.StatusServiceUnavailable)
+	}
+	return nil
+}
+
+// The parameters for parsing a Content-Length.
+const (
+	contentLengthBase = 10
+	contentLengthBits = 63
+)
+
+// statedBodyLength returns the length of the body that a head states, or 0 if it is missing or invalid. It returns the
+// maximum for longer ones.
+func statedBodyLength(head []byte) int64 {
+	for line := range bytes.Lines(head) {
+		line = bytes.TrimSpace(line)
+		if len(line) == 0 {
+			return 0
+		}
+		name, value, _ := bytes.Cut(line, []byte{':'})
+		if !bytes.EqualFold(name, []byte("Content-Length")) {
+			continue
+		}
+		length, err := strconv.ParseUint(string(bytes.TrimSpace(value)), contentLengthBase, contentLengthBits)
+		if err != nil {
+			return 0
+		}
+		return min(int64(length), protocol.MaxBodySize)
+	}
+	return 0
+}
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"ashshunt/internal/socket"
 	"ashshunt/internal/telemetry"
 )
 
@@ -15,6 +16,8 @@
 	initialAcceptBackoff = time.Millisecond
 	// maxAcceptBackoff bounds the wait after consecutive failures.
 	maxAcceptBackoff = 50 * time.Millisecond
+	// pendingPollInterval is the interval at which the accept queue is examined while no slot is free.
+	pendingPollInterval = 2 * time.Millisecond
 	// acceptBackoffFactor is the growth of the wait with each consecutive failure.
 	acceptBackoffFactor = 2
 )
@@ -33,9 +36,9 @@
 	return &connectionListener{Listener: l, table: table, log: log, closed: make(chan struct{})}
 }
 
-// Accept implements net.Listener. It blocks while the limit allows no further connection. Clients that connect in the
-// meantime wait in the kernel's accept queue, where they hold no descriptor of this process.
-func (l *connectionListener) Accept() (net.Conn, error) {
+// accept accepts the next connection. It blocks while the limit allows no further connection. Clients that connect in
+// the meantime wait in the kernel's accept queue, where they hold no descriptor of this process.
+func (l *connectionListener) accept() (*connection, error) {
 	if err := l.waitForSlot(); err != nil {
 		return nil, err
 	}
@@ -46,14 +49,18 @@
 	return l.table.add(accepted), nil
 }
 
-// waitForSlot blocks until the limit allows one more connection. It returns net.ErrClosed if the listener is closed.
+// waitForSlot blocks until the limit allows one more connection. While another client waits for a slot, clients that
+// have stalled within a request are evicted. It returns net.ErrClosed if the listener is closed.
 func (l *connectionListener) waitForSlot() error {
 	for {
 		wait, ok := l.table.ensureSlot(time.Now())
 		if ok {
 			return nil
 		}
-		if !l.sleep(wait, l.table.released) {
+		if socket.HasPending(l.Listener) && l.table.evictStalled(func(*connection) bool { return true }) {
+			continue
+		}
+		if !l.sleep(min(wait, pendingPollInterval), l.table.released) {
 			return net.ErrClosed
 		}
 	}
@@ -63,7 +70,7 @@
 // call are transient, and a restart of the agent would fix none of the others.
 func (l *connectionListener) acceptWithRetry() (net.Conn, error) {
 	for backoff := initialAcceptBackoff; ; backoff = min(acceptBackoffFactor*backoff, maxAcceptBackoff) {
-		accepted, err := l.Listener.Accept()
+		accepted, err := l.Accept()
 		if err == nil || errors.Is(err, net.ErrClosed) {
 			return accepted, err
 		}
--- a/internal/frontend/listener_test.go
+++ b/internal/frontend/listener_test.go
@@ -102,14 +102,10 @@
 func dialAndAccept(t *testing.T, listener *connectionListener) (client net.Conn, accepted *connection) {
 	t.Helper()
 	client = testutil.Dial(t, listener.Addr(), "")
-	conn, err := listener.Accept()
+	accepted, err := listener.accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	accepted, ok := conn.(*connection)
-	if !ok {
-		t.Fatalf("got accepted connection of type %T, want *connection", conn)
-	}
 	listener.table.handleConnState(accepted, http.StateNew)
 	return client, accepted
 }
@@ -121,7 +117,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	table := newConnectionTable(1, &Timeouts{ReadStall: testutil.Timeout})
+	table := newConnectionTable(1, &Timeouts{ReadStall: testutil.Timeout, ReclaimStalled: testutil.Timeout},
+		newBudget())
 	listener := newConnectionListener(inner, table, testutil.NewLogger(&testutil.Log{}))
 	t.Cleanup(func() { _ = listener.Close() })
 	return listener
@@ -130,15 +127,16 @@
 // A shutdown or a lack of slots must not close a connection whose request has arrived but is not read yet, or is being
 // read. Between the close and the read, the one that changes the phase first wins.
 func TestPendingRequestIsNotClosed(t *testing.T) {
+	const head = "GET / HTTP/1.1\r\n\r\n" // a connection returns no bytes of an incomplete head
 	listener := newTestListener(t)
-	buffer := make([]byte, 10)
+	buffer := make([]byte, 100)
 
 	client, conn := dialAndAccept(t, listener)
-	testutil.Write(t, client, "request")
+	testutil.Write(t, client, head)
 	testutil.WaitFor(t, "bytes of the request", func() bool { return socket.HasUnread(conn.Conn) })
 	listener.table.closeAllIdle()
-	if n, err := conn.Read(buffer); n != len("request") || err != nil {
-		t.Fatalf("request that is not read yet: got %d bytes and error %v, want 7 bytes", n, err)
+	if n, err := conn.Read(buffer); n != len(head) || err != nil {
+		t.Fatalf("request that is not read yet: got %d bytes and error %v, want %d bytes", n, err, len(head))
 	}
 	listener.table.closeAllIdle() // the bytes are read, but net/http has not parsed a request yet
 	if _, ok := listener.table.ensureSlot(time.Now()); ok {
@@ -154,7 +152,7 @@
 
 	client, conn = dialAndAccept(t, listener)
 	previous := conn.startClose() // the close starts before the request arrives
-	testutil.Write(t, client, "request")
+	testutil.Write(t, client, head)
 	testutil.WaitFor(t, "bytes of the request", func() bool { return socket.HasUnread(conn.Conn) })
 	if n, err := conn.Read(buffer); n != 0 || err == nil {
 		t.Errorf("read of a closing connection: got %d bytes and error %v, want an error", n, err)
@@ -203,8 +201,8 @@
 				failing.failures <- cause
 			}
 			server, _ := startServer(t, testutil.Config(t, "127.0.0.1:1"), echo, func(s *Server) {
-				failing.Listener = s.listener.Listener
-				s.listener.Listener = failing
+				failing.Listener = s.listener.inner.Listener
+				s.listener.inner.Listener = failing
 			})
 			client := testutil.Dial(t, server.Addr(), testutil.RawPost(id, ""))
 			if status := testutil.ReadStatus(t, client); status != http.StatusOK {
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ashshunt/balancer"
+	"ashshunt/internal/membudget"
 )
 
 // Request is a complete, valid request of a client.
@@ -21,6 +22,10 @@
 	// that a close would not be detected. It may report this before the event loop is told by EventLoop.Abandon.
 	IsClientGone func() bool
 
+	// Memory is the reservation of the request. Its holders are the frontend, until the response is written, and the
+	// event loop, until the request has no attempt in flight any more.
+	Memory *membudget.Reservation
+
 	response chan Response
 }
 
@@ -39,6 +44,8 @@
 	Status     int
 	Body       []byte
 	RetryAfter time.Duration // 0: no Retry-After header
+
+	writeUntil time.Time // time by which the client must have read it
 }
 
 // EventLoop is the part of the agent's event loop that the frontend uses.
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -45,6 +45,8 @@
 	// lineLength and lineStart are the length and the first byte of the current line of the head, without its LF.
 	lineLength int
 	lineStart  byte
+	// headLength and headLines are the number of bytes and of complete lines of the current head that were added.
+	headLength, headLines int
 	// unscanned holds the bytes behind a head whose body has an unknown length.
 	unscanned []byte
 	// bodyRemaining is the number of bytes of the body that were not added; 0 unless state is scanBody.
@@ -99,8 +101,11 @@
 		}
 		s.lineLength += len(line)
 		if !isComplete {
+			s.headLength += len(line)
 			return nil
 		}
+		s.headLength += len(line) + 1
+		s.headLines++
 		isEmpty := s.lineLength == 0 || s.lineLength == 1 && s.lineStart == '\r'
 		s.lineLength = 0
 		p = rest
@@ -131,11 +136,32 @@
 		return
 	}
 	s.state, s.bodyRemaining, s.startLength = scanBody, length, 0
+	s.headLength, s.headLines = 0, 0
 	behindHead := s.addBody(s.unscanned)
 	s.unscanned = s.unscanned[:0]
 	s.addLocked(behindHead) // the bytes move to the front of unscanned, if they are needed there
 }
 
+// headState describes the head of the request to which the next byte belongs.
+type headState struct {
+	isComplete bool // all of the head was added, or the scanner has lost its place
+	isRequest  bool // the first bytes may be those of a request
+	length     int  // number of bytes that were added
+	lines      int  // number of complete lines that were added, the request line included
+}
+
+// head returns the state of the head that is being read.
+func (s *requestScanner) head() headState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return headState{
+		isComplete: s.state != scanHead,
+		isRequest:  mayStartRequest(s.start[:s.startLength]),
+		length:     s.headLength,
+		lines:      s.headLines,
+	}
+}
+
 // bodyBytesRemaining returns the number of bytes of the current request's body that were not added.
 func (s *requestScanner) bodyBytesRemaining() int {
 	s.mu.Lock()
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -11,6 +11,7 @@
 
 	"ashshunt/internal/clock"
 	"ashshunt/internal/config"
+	"ashshunt/internal/membudget"
 )
 
 // maxHeaderBytes bounds the head of a request; net/http allows slightly more.
@@ -26,6 +27,9 @@
 	defaultReclaimUnusedTimeout = 250 * time.Millisecond
 	// A connection may be reclaimed slightly before it times out as idle.
 	defaultIdleTimeout                  = defaultReclaimIdleTimeout + 100*time.Millisecond
+	defaultReclaimStalledTimeout        = 50 * time.Millisecond
+	defaultMemoryWaitTimeout            = 300 * time.Millisecond
+	defaultResponseWriteTimeout         = 500 * time.Millisecond
 	defaultMalformedLingerTimeout       = 100 * time.Millisecond
 	defaultReadyWithoutEndpointsTimeout = 5 * time.Second
 )
@@ -48,6 +52,14 @@
 	// ReclaimUnused replaces ReclaimIdle for a connection that has not had any request. It is shorter, since clients
 	// connect in order to send a request.
 	ReclaimUnused time.Duration
+	// ReclaimStalled is how long a client must have made no progress with its request before its connection may be
+	// closed to free its descriptor or memory for another client. It also applies to idle connections if memory is
+	// short.
+	ReclaimStalled time.Duration
+	// MemoryWait is how long a request waits for memory before it is rejected.
+	MemoryWait time.Duration
+	// ResponseWrite is how long after its timeout a client may take to read the response.
+	ResponseWrite time.Duration
 	// MalformedLinger is how long the rest of a malformed request is read before its connection is closed.
 	MalformedLinger time.Duration
 	// ReadyWithoutEndpoints is how long an agent without endpoints waits for discovery before it reports readiness
@@ -64,6 +76,9 @@
 		Idle:                  defaultIdleTimeout,
 		ReclaimIdle:           defaultReclaimIdleTimeout,
 		ReclaimUnused:         defaultReclaimUnusedTimeout,
+		ReclaimStalled:        defaultReclaimStalledTimeout,
+		MemoryWait:            defaultMemoryWaitTimeout,
+		ResponseWrite:         defaultResponseWriteTimeout,
 		MalformedLinger:       defaultMalformedLingerTimeout,
 		ReadyWithoutEndpoints: defaultReadyWithoutEndpointsTimeout,
 	}
@@ -75,17 +90,18 @@
 	Timeouts Timeouts
 
 	connections *connectionTable
-	listener    *connectionListener
+	listener    *admissionListener
 	handler     *handler
 	http        *http.Server
 }
 
-// NewServer returns a server for the connections of a listener. It accepts connections once Serve is called.
+// NewServer returns a server for the connections of a listener. It accepts connections once Serve is called, and
+// reserves the memory for them and for their requests in a budget.
 func NewServer(listener net.Listener, c *config.Config, agentClock clock.Clock, loop EventLoop,
-	log *slog.Logger) *Server {
+	budget *membudget.Budget, log *slog.Logger) *Server {
 	s := &Server{Timeouts: DefaultTimeouts()}
-	s.connections = newConnectionTable(c.MaxClientConnections(), &s.Timeouts)
-	s.listener = newConnectionListener(listener, s.connections, log)
+	s.connections = newConnectionTable(maxConnections(c, budget), &s.Timeouts, budget)
+	s.listener = newAdmissionListener(newConnectionListener(listener, s.connections, log))
 	s.handler = newHandler(c, agentClock, loop, &s.Timeouts, s.connections.isNearLimit)
 	s.http = &http.Server{
 		Handler:        s.handler,
@@ -106,6 +122,7 @@
 func (s *Server) Serve() error {
 	s.http.ReadHeaderTimeout = s.Timeouts.FirstByte
 	s.http.IdleTimeout = s.Timeouts.Idle
+	go s.listener.acceptAll() // returns when the listener is closed
 	return s.http.Serve(s.listener)
 }
 
@@ -125,13 +142,16 @@
 
 // StopAccepting closes the listener; open connections stay open. An error is ignored, since the descriptor is released
 // regardless.
-func (s *Server) StopAccepting() { _ = s.listener.Close() }
+func (s *Server) StopAccepting() { _ = s.listener.StopAccepting() }
 
 // WaitForAllClosed blocks until no connection is open or ctx is done.
 func (s *Server) WaitForAllClosed(ctx context.Context) { s.connections.waitForAllClosed(ctx) }
 
-// Close closes the listener and all connections.
-func (s *Server) Close() error { return s.http.Close() }
+// Close closes the listener and all connections. Those with an incomplete first head are closed by their timeouts.
+func (s *Server) Close() error {
+	defer s.connections.closeAllIdle()
+	return s.http.Close()
+}
 
 // ConnectionCounts returns the number of open connections, and how many of these are on the idle list. It is used only
 // in tests.
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -9,6 +9,7 @@
 
 	"ashshunt/internal/clock"
 	"ashshunt/internal/config"
+	"ashshunt/internal/membudget"
 	"ashshunt/internal/testutil"
 )
 
@@ -72,10 +73,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(listener, c, clock.New(), loop, testutil.NewLogger(&testutil.Log{}))
+	server := NewServer(listener, c, clock.New(), loop, newBudget(), testutil.NewLogger(&testutil.Log{}))
 	if configure != nil {
 		configure(server)
 	}
+	serveUntilEnd(t, server)
+	return server
+}
+
+// serveUntilEnd runs a server until the end of the test.
+func serveUntilEnd(t *testing.T, server *Server) {
+	t.Helper()
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve() }()
 	t.Cleanup(func() {
@@ -86,5 +94,9 @@
 			t.Error("Serve:", err)
 		}
 	})
-	return server
+}
+
+// newBudget returns a memory budget that does not limit a test.
+func newBudget() *membudget.Budget {
+	return membudget.New(256<<20, testutil.NewLogger(&testutil.Log{}))
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -126,6 +126,26 @@
 	return state
 }
 
+// HasPending reports whether a connection waits in the accept queue of a listener. It also reports true if that is
+// unknown.
+func HasPending(listener net.Listener) bool {
+	syscallConn, ok := listener.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	isPending := true
+	err = raw.Control(func(fd uintptr) {
+		if revents, pollErr := pollEvents(fd, unix.POLLIN); pollErr == nil {
+			isPending = revents != 0
+		}
+	})
+	return err != nil || isPending
+}
+
 // HasUnacknowledged reports whether the peer's machine has not acknowledged all bytes that were written to a
 // connection. A response acknowledges its request, so that bytes which arrive before are no response to it.
 // HasUnacknowledged reports false if that is unknown.
@@ -193,9 +213,18 @@
 
 // isHungUp reports whether the peer has closed its sending side or the connection has failed.
 func isHungUp(fd uintptr) bool {
-	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	revents, err := pollEvents(fd, unix.POLLRDHUP)
+	return err == nil && revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// pollEvents returns the events of a file descriptor without waiting for them.
+func pollEvents(fd uintptr, events int16) (revents int16, err error) {
+	polled := []unix.PollFd{{Fd: int32(fd), Events: events}}
 	n, err := retryTransient(func() (int, error) { return poll(polled, 0) })
-	return err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	if err != nil || n == 0 {
+		return 0, err
+	}
+	return polled[0].Revents, nil
 }
 
 // queuedBytes returns the number of bytes in a queue of a socket; 0 if the system call fails. The request TIOCINQ
--- a/internal/telemetry/messages.go
+++ b/internal/telemetry/messages.go
@@ -20,6 +20,8 @@
 	MsgWatchEnded               = "watch ended"
 	MsgPollFailed               = "poll failed"
 	MsgAcceptFailed             = "accept failed"
+	MsgMemoryShort              = "memory budget exhausted"
+	MsgMemoryUsage              = "memory budget usage"
 	MsgMalformedResponse        = "malformed response"
 	MsgUnexpectedStatus         = "unexpected response status"
 	MsgUnrequestedBytes         = "connection closed after unrequested bytes"
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -8,6 +8,7 @@
 
 	"ashshunt/balancer"
 	"ashshunt/internal/endpoint"
+	"ashshunt/internal/membudget"
 	"ashshunt/internal/protocol"
 	"ashshunt/internal/socket"
 )
@@ -59,8 +60,9 @@
 		c.logUnsent(label, balancer.NotSent, nil)
 		return balancer.NotSent, unsentResponse(nil)
 	}
-	return c.sendOn(ctx, conn, label, newForwardedRequest(request, options.Deadline), options.Deadline,
-		options.Reuse.LateWindow)
+	limits := c.newExchangeLimits(conn, options.Deadline, options.Reuse)
+	limits.memory = request.Memory
+	return c.sendOn(ctx, conn, label, newForwardedRequest(request, options.Deadline), limits)
 }
 
 // HealthCheck sends a health check to an endpoint. If load reports are enabled, it requests protocol.LoadReportPath
@@ -79,7 +81,7 @@
 		path = protocol.LoadReportPath
 	}
 	request := newHealthCheckRequest(path, conn.netConn.RemoteAddr().String())
-	result, response := c.sendOn(ctx, conn, label, request, deadline, reuse.LateWindow)
+	result, response := c.sendOn(ctx, conn, label, request, c.newExchangeLimits(conn, deadline, reuse))
 	if path == protocol.LoadReportPath {
 		response.copyLoadReportToHeader()
 	}
@@ -149,10 +151,19 @@
 	return balancer.ConnectFailed
 }
 
+// newExchangeLimits returns the limits of an exchange on a connection.
+func (c *Client) newExchangeLimits(conn *connection, deadline time.Time, reuse balancer.ReuseTerms) exchangeLimits {
+	return exchangeLimits{
+		deadline:     deadline,
+		stallTimeout: c.stallTimeout,
+		notBefore:    conn.endOfLateWindow(reuse.LateWindow),
+	}
+}
+
 // sendOn sends a request on a connection and reads the response. It returns the connection to the pool or closes it,
 // and returns the result of the exchange and the response.
 func (c *Client) sendOn(ctx context.Context, conn *connection, label exchangeLabel, request *http.Request,
-	deadline time.Time, lateWindow time.Duration) (balancer.Result, Response) {
+	limits exchangeLimits) (balancer.Result, Response) {
 	encoded, err := encodeRequest(request)
 	if err != nil { // no byte was sent, so the request can't have run
 		c.pool.release(conn)
@@ -168,11 +179,7 @@
 	c.pool.countExchange(conn)
 	// After its release another goroutine may use the connection, so the state that is needed later is copied here.
 	snapshot := newConnectionSnapshot(conn)
-	outcome := exchange(ctx, conn.netConn, encoded, exchangeLimits{
-		deadline:     deadline,
-		stallTimeout: c.stallTimeout,
-		notBefore:    conn.endOfLateWindow(lateWindow),
-	})
+	outcome := exchange(ctx, conn.netConn, encoded, limits)
 	result := classify(outcome, ctx.Err() != nil)
 	c.logExchange(label, snapshot, result, outcome)
 	c.finishExchange(conn, outcome)
@@ -204,9 +211,12 @@
 // request ran, the result says that it may have run.
 func classify(outcome exchangeOutcome, cancelled bool) balancer.Result {
 	response := outcome.response
+	_, isShort := errors.AsType[*membudget.ShortageError](response.Err)
 	switch {
 	case response.isServed():
 		return balancer.Served
+	case isShort:
+		return balancer.Cancelled // the endpoint is not the cause, and the request may have run
 	case response.Err == nil && response.isRejected():
 		return balancer.Rejected
 	case response.Err == nil || errors.Is(response.Err, errMalformedResponse):
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"ashshunt/internal/membudget"
 )
 
 // responseBufferSize is the size in bytes of the read buffer of an exchange.
@@ -26,13 +28,22 @@
 	firstByteAt    time.Time // time of the first byte of the response; zero: there is none
 }
 
-// encodeRequest returns the bytes of a request as exchange writes them.
-func encodeRequest(request *http.Request) ([]byte, error) {
-	var encoded bytes.Buffer
-	if err := request.Write(&encoded); err != nil {
+// encodedRequests holds unused buffers for encoded requests. A long request would otherwise leave a copy of its body to
+// the garbage collector for each attempt.
+var encodedRequests = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// encodeRequest returns a buffer of encodedRequests with the bytes of a request as exchange writes them.
+func encodeRequest(request *http.Request) (*bytes.Buffer, error) {
+	encoded, ok := encodedRequests.Get().(*bytes.Buffer)
+	if !ok {
+		encoded = new(bytes.Buffer)
+	}
+	encoded.Reset()
+	if err := request.Write(encoded); err != nil {
+		encodedRequests.Put(encoded)
 		return nil, err
 	}
-	return encoded.Bytes(), nil
+	return encoded, nil
 }
 
 // isNoResponse reports whether the exchange ended with bytes that are no response to its request.
@@ -40,26 +51,32 @@
 	return errors.Is(o.response.Err, errUnrequestedBytes) || errors.Is(o.response.Err, errEarlyBytes)
 }
 
-// exchangeLimits are the limits of time of an exchange.
+// exchangeLimits are the limits of an exchange.
 type exchangeLimits struct {
-	deadline     time.Time     // deadline of the whole exchange
-	stallTimeout time.Duration // maximum time of a single read after the response has started
-	notBefore    time.Time     // bytes that arrive earlier are no response
+	memory       *membudget.Reservation // reserves the memory of a long response
+	deadline     time.Time              // deadline of the whole exchange
+	stallTimeout time.Duration          // maximum time of a single read after the response has started
+	notBefore    time.Time              // bytes that arrive earlier are no response
 }
 
-// exchange writes a request with a single call to Write and reads its response. Cancelling ctx interrupts both.
-func exchange(ctx context.Context, conn net.Conn, request []byte, limits exchangeLimits) exchangeOutcome {
+// exchange writes a request with a single call to Write, puts its buffer back into encodedRequests, and reads the
+// response. Cancelling ctx interrupts the write and the read.
+func exchange(ctx context.Context, conn net.Conn, request *bytes.Buffer, limits exchangeLimits) exchangeOutcome {
 	// SetDeadline fails on a closed connection, where the write and the read fail as well.
 	_ = conn.SetDeadline(limits.deadline)
 	stopInterrupt := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(pastDeadline) })
 	defer stopInterrupt()
-	if n, err := conn.Write(request); n < len(request) {
+	length := request.Len()
+	n, err := conn.Write(request.Bytes())
+	encodedRequests.Put(request)
+	if n < length {
 		return exchangeOutcome{response: Response{Err: err, EndedAt: time.Now()}}
 	}
 	buffer := getBuffer()
 	reader := &responseReader{conn: conn, ctx: ctx, buffer: buffer, limits: limits}
 	buffer.Reset(reader)
 	response, keepAlive, following := reader.readAndValidateResponse()
+	reader.releaseUnused(response)
 	putBuffer(buffer)
 	// A request that was not served may be sent again. Its connection is closed before that: if the response was not
 	// its own, the request still runs.
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -218,7 +219,7 @@
 		syscall.EPIPE, syscall.ENETDOWN, syscall.ECONNABORTED} {
 		conn := failingConn{cause: cause}
 		deadline := time.Now().Add(testutil.Timeout)
-		outcome := exchange(context.Background(), conn, []byte("x"),
+		outcome := exchange(context.Background(), conn, bytes.NewBufferString("x"),
 			exchangeLimits{deadline: deadline, stallTimeout: testutil.Timeout})
 		if result := classify(outcome, false); result != balancer.Reset {
 			t.Errorf("%v: got result %d, want Reset", cause, result)
--- a/internal/upstream/followed_test.go
+++ b/internal/upstream/followed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -101,7 +102,7 @@
 	}
 	t.Cleanup(func() { _ = conn.Close() })
 	gated := delayedConn{conn, func() { <-written }}
-	return exchange(context.Background(), gated, []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+	return exchange(context.Background(), gated, bytes.NewBufferString("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
 		exchangeLimits{deadline: time.Now().Add(time.Hour), stallTimeout: time.Second})
 }
 
--- a/internal/upstream/framing.go
+++ b/internal/upstream/framing.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -66,14 +67,20 @@
 	return framing{kind: framedByLength, length: int(length)}, nil
 }
 
-// readBody reads the body to its end.
-func (f framing) readBody(in *bufio.Reader) ([]byte, error) {
+// reserveFunc reserves memory for a body of up to the given size.
+type reserveFunc func(size int) error
+
+// readBody reads the body to its end. It reserves the memory of a long body before it allocates it.
+func (f framing) readBody(in *bufio.Reader, reserve reserveFunc) ([]byte, error) {
 	switch f.kind {
 	case framedByChunks:
-		return readChunkedBody(in)
+		return readChunkedBody(in, reserve)
 	case framedByClose:
-		return readAtMost(in, protocol.MaxBodySize)
+		return readAtMost(in, protocol.MaxBodySize, reserve)
 	case framedByLength:
+		if err := reserve(f.length); err != nil {
+			return nil, err
+		}
 		body := make([]byte, f.length)
 		_, err := io.ReadFull(in, body)
 		return body, err
@@ -81,8 +88,8 @@
 	return nil, fmt.Errorf("unknown framing kind %d", f.kind) // unreachable: all kinds are handled above
 }
 
-func readChunkedBody(in *bufio.Reader) ([]byte, error) {
-	body, err := readAtMost(httputil.NewChunkedReader(in), protocol.MaxBodySize)
+func readChunkedBody(in *bufio.Reader, reserve reserveFunc) ([]byte, error) {
+	body, err := readAtMost(httputil.NewChunkedReader(in), protocol.MaxBodySize, reserve)
 	if err != nil {
 		return nil, err
 	}
@@ -93,13 +100,21 @@
 
 // readAtMost reads in to its end and returns an error if that is more than limit bytes. It also returns an error if the
 // connection is reset: unlike a close, a reset does not mark the end of a body.
-func readAtMost(in io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(in, limit+1))
+func readAtMost(in io.Reader, limit int, reserve reserveFunc) ([]byte, error) {
+	start, err := io.ReadAll(io.LimitReader(in, unreservedBodySize))
+	if err != nil || len(start) < unreservedBodySize {
+		return start, err
+	}
+	if err := reserve(limit); err != nil {
+		return nil, err
+	}
+	body := bytes.NewBuffer(start)
+	n, err := body.ReadFrom(io.LimitReader(in, int64(limit-len(start)+1)))
 	if err != nil {
 		return nil, err
 	}
-	if int64(len(body)) > limit {
+	if len(start)+int(n) > limit {
 		return nil, fmt.Errorf("response body exceeds %d bytes", limit)
 	}
-	return body, nil
+	return body.Bytes(), nil
 }
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -8,6 +8,7 @@
 	"net"
 	"time"
 
+	"ashshunt/internal/membudget"
 	"ashshunt/internal/protocol"
 	"ashshunt/internal/socket"
 )
@@ -19,6 +20,8 @@
 	maxInformationalResponses = 8
 	// maxEncodedBodySize is the maximum size in bytes of a body including its chunk framing.
 	maxEncodedBodySize = 2 * protocol.MaxBodySize
+	// unreservedBodySize is the maximum size in bytes of a body whose memory counts as part of its request's.
+	unreservedBodySize = 4 << 10
 )
 
 // responseReader reads one response from a connection, with limits on its time and size.
@@ -32,6 +35,7 @@
 	firstByteAt    time.Time // time of the first byte of the first response; zero: not received
 	bytesRemaining int       // number of bytes that may still be read from conn for the current head or body
 	connErr        error     // last error of the connection
+	reserved       int       // number of bytes of memory that are reserved for bodies
 }
 
 // readResponse reads the final response and skips the informational responses before it. It never returns a partial
@@ -53,7 +57,7 @@
 			return r.failedResponse(err), false
 		}
 		r.bytesRemaining = maxEncodedBodySize
-		body, err := framing.readBody(r.buffer)
+		body, err := framing.readBody(r.buffer, r.reserveBody)
 		if err != nil {
 			return r.failedResponse(err), false
 		}
@@ -64,6 +68,30 @@
 		maxInformationalResponses)), false
 }
 
+// reserveBody reserves memory for a body of up to the given size, unless it is short. It waits for the memory until the
+// deadline of the response; the body stays in the socket until then.
+func (r *responseReader) reserveBody(size int) error {
+	if size <= unreservedBodySize {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(r.ctx, r.limits.deadline)
+	defer cancel()
+	if err := r.limits.memory.Grow(ctx, membudget.Responses, int64(size)); err != nil {
+		return err
+	}
+	r.reserved += size
+	return nil
+}
+
+// releaseUnused releases the memory that is reserved for bodies, except for that of the response if it is served.
+func (r *responseReader) releaseUnused(response Response) {
+	used := 0
+	if response.isServed() && len(response.Body) > unreservedBodySize {
+		used = len(response.Body)
+	}
+	r.limits.memory.Shrink(membudget.Responses, int64(r.reserved-used))
+}
+
 // Read implements io.Reader for the buffer. It records connection errors in connErr, since the errors of the parsers do
 // not distinguish a closed connection from a malformed response.
 func (r *responseReader) Read(p []byte) (int, error) {
@@ -117,9 +145,13 @@
 }
 
 // failedResponse returns the response of a failed read. Its error is that of the connection if there is one. Otherwise
-// it wraps errMalformedResponse and err. A response that starts and then stalls is malformed too, although its read
-// failed with a timeout: the endpoint keeps the connection open and sends no more.
+// it wraps errMalformedResponse and err, unless the cause is a lack of memory in this process. A response that starts
+// and then stalls is malformed too, although its read failed with a timeout: the endpoint keeps the connection open and
+// sends no more.
 func (r *responseReader) failedResponse(err error) Response {
+	if _, ok := errors.AsType[*membudget.ShortageError](err); ok {
+		return Response{Err: err}
+	}
 	if r.connErr != nil && !r.isStalled() {
 		return Response{Err: r.connErr}
 	}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"ashshunt/internal/membudget"
 	"ashshunt/internal/protocol"
 )
 
@@ -23,6 +24,8 @@
 	// IsClientGone reports whether the client will get no response, because it closed its connection or sent too many
 	// bytes after its request. It may become true before Lifetime is cancelled.
 	IsClientGone func() bool
+	// Memory reserves the memory of long responses; nil: it is not limited.
+	Memory *membudget.Reservation
 }
 
 // isFinished reports whether no attempt of the request may start any more.
