Let connections rest longer after responses that came too early

Cause: a connection rests until the late window is covered by a low quantile of the latencies. The estimate of the quantile sees only responses that were not dropped, and a busy agent measures them with its own delays. So it relies on latencies that the true responses fall short of, and nothing corrects it.

Change: Outcome.TooEarly tells the decision module of a drop, which counts as a latency below the quantile. TestConnectionsRestLongerAfterEarlyResponses failed before (a rest that relies on 40.9 ms after drops at 5 ms).

--- a/balancer/connectionreuse.go
+++ b/balancer/connectionreuse.go
@@ -67,6 +67,11 @@
 	c.quickLatencyRatio = min(1, c.quickLatencyRatio*math.Exp(change))
 }
 
+// recordTooEarly updates the estimate after bytes that came within the late window. They are most likely a
+// response that was quicker than estimated. Without them the estimate would be based only on the responses
+// that were slow enough, and would never decrease.
+func (c *connectionReuse) recordTooEarly() { c.recordLatency(0) }
+
 // lateWindow returns the time after a response within which further bytes may belong to it.
 func (c *connectionReuse) lateWindow(now time.Duration) time.Duration {
 	halvings := float64(now-c.updatedAt) / float64(lateWindowHalfLife)
--- a/balancer/connectionreuse_test.go
+++ b/balancer/connectionreuse_test.go
@@ -16,15 +16,20 @@
 
 // serve sends a request, serves it after a latency, and returns the terms of its attempt.
 func (h *reuseHarness) serve(latency time.Duration) balancer.ReuseTerms {
+	h.t.Helper()
+	return h.end(balancer.Outcome{Result: balancer.Served, Latency: latency, Done: true})
+}
+
+// end sends a request, ends its attempt with an outcome after its latency, and returns the terms of the attempt.
+func (h *reuseHarness) end(outcome balancer.Outcome) balancer.ReuseTerms {
 	h.t.Helper()
 	h.requests++
 	id := fmt.Sprint("q", h.requests)
 	for _, action := range h.step(balancer.Request{ID: id, Timeout: 2000 * ms}) {
 		if send, ok := action.(balancer.Send); ok {
-			h.advance(latency)
-			h.step(balancer.Outcome{
-				Request: id, Endpoint: send.Endpoint, Result: balancer.Served, Latency: latency, Done: true,
-			})
+			h.advance(outcome.Latency)
+			outcome.Request, outcome.Endpoint = id, send.Endpoint
+			h.step(outcome)
 			return send.Reuse
 		}
 	}
@@ -75,3 +80,24 @@
 		t.Errorf("got a rest of %v after 1,000 responses, want it to make use of the latency", last.MinIdle)
 	}
 }
+
+// Responses that came too early and were dropped are quicker than estimated, so that connections must rest longer after
+// them. Otherwise the estimate follows only the responses that were slow enough, and as many are dropped forever.
+func TestConnectionsRestLongerAfterEarlyResponses(t *testing.T) {
+	const latency = 50 * ms
+	h := reuseHarness{harness: newHarness(t, settings(), 1, endpoints(2))}
+	for range 1000 {
+		h.serve(latency)
+	}
+	before := h.serve(latency).MinIdle
+	for range 5 {
+		h.end(balancer.Outcome{Result: balancer.Reset, Latency: latency / 10, Done: true, TooEarly: true})
+		for range 10 { // one in eleven is far more than the estimated quantile
+			h.serve(latency)
+		}
+	}
+	terms := h.serve(latency)
+	if quick := terms.LateWindow - terms.MinIdle; quick > (terms.LateWindow-before)/3 {
+		t.Errorf("got a rest of %v, %v before, which relies on latencies of %v", terms.MinIdle, before, quick)
+	}
+}
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -78,6 +78,8 @@
 	Latency    time.Duration // time since the attempt was sent
 	Done       bool          // the request has its final answer, by this attempt or before
 	LoadReport LoadReport    // not used by Balancer
+	// TooEarly means that bytes came within the late window of the connection and were dropped (ReuseTerms).
+	TooEarly bool
 }
 
 // Result is the result of an attempt or a health check.
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -59,6 +59,9 @@
 		b.handleLocalFailure(r, a, outcome)
 		return
 	}
+	if outcome.TooEarly {
+		b.reuse.recordTooEarly()
+	}
 	r.class.updateOnTimeShares(outcome.Result == Served && r.isOnTime(b.now), a.usesNewConnection)
 	b.updateConnection(a, outcome.Result)
 	switch outcome.Result {
--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -73,6 +73,7 @@
 	outcome.Result = result
 	outcome.Latency = l.clock.FromTime(response.EndedAt) - startedAt
 	outcome.LoadReport = response.LoadReport()
+	outcome.TooEarly = response.IsTooEarly()
 	l.post(attemptFinished{request: r, outcome: outcome, response: response})
 }
 
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/textproto"
@@ -24,6 +25,9 @@
 	Err     error
 }
 
+// IsTooEarly reports whether bytes came within the late window of the connection and were dropped.
+func (r Response) IsTooEarly() bool { return errors.Is(r.Err, errEarlyBytes) }
+
 // isServed reports whether the endpoint served the request.
 func (r Response) isServed() bool { return r.Err == nil && r.Status == http.StatusOK }
 
