Do not forward an ID again whose request may have run and whose client has left

Callers saw one ID run twice: a client sent a request of a class that must not run twice, left after some milliseconds and sent the same ID on a new connection. Cause: the request table forgot an ID as soon as its last attempt had ended, so that only IDs in flight were recognized.

Idempotent classes are not affected; a key that all endpoints share may be repeated while all attempts end within its window.

--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -22,7 +22,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	outcome := balancer.Outcome{
 		Request:  action.Request,
-		Attempt:  r.addAttempt(cancel),
+		Attempt:  r.addAttempt(now, cancel),
 		Endpoint: action.Endpoint,
 		Result:   balancer.NotSent,
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -55,6 +55,7 @@
 	pending          []balancer.Event // events for the next step
 	timers           timerQueue
 	requests         requestTable
+	recent           recentRequests
 	shutdownDeadline time.Duration // all requests are answered by this time; 0: not shutting down
 }
 
@@ -86,8 +87,9 @@
 		done:       make(chan struct{}),
 		ready:      make(chan struct{}),
 		lastStepAt: agentClock.Now() - maxTick, // makes the first step due immediately
-		requests:   newRequestTable(),
+		recent:     newRecentRequests(recentRequestsPerMB * c.MemoryMB()),
 	}
+	l.requests = newRequestTable(l.handleRemoved)
 	l.upstream = upstream.New(l.upstreamOptions(c))
 	l.discovery = discovery.New(l.discoveryOptions(c))
 	l.pending = append(l.pending, l.discovery.CachedList())
--- a/internal/agent/openrequest.go
+++ b/internal/agent/openrequest.go
@@ -41,6 +41,7 @@
 	attemptCancels     []context.CancelFunc // by attempt number; nil for a finished attempt
 	inFlight           int                  // number of unfinished attempts
 	finishedMayHaveRun bool                 // a finished attempt may have run, according to its result
+	firstAttemptAt     time.Duration        // start of the first attempt, on the agent's clock; 0 before
 }
 
 func newTrackedRequest(inbound *frontend.Request) *trackedRequest {
@@ -73,8 +74,11 @@
 // mayHaveRun reports whether an attempt may have run at an endpoint or is in flight.
 func (r *trackedRequest) mayHaveRun() bool { return r.finishedMayHaveRun || r.inFlight > 0 }
 
-// addAttempt adds an attempt in flight and returns its number.
-func (r *trackedRequest) addAttempt(cancel context.CancelFunc) (number int) {
+// addAttempt adds an attempt in flight that starts at now, and returns its number.
+func (r *trackedRequest) addAttempt(now time.Duration, cancel context.CancelFunc) (number int) {
+	if len(r.attemptCancels) == 0 {
+		r.firstAttemptAt = now
+	}
 	r.attemptCancels = append(r.attemptCancels, cancel)
 	r.inFlight++
 	return len(r.attemptCancels) - 1
@@ -110,10 +114,13 @@
 // requestTable holds each request from its submission until it is finished and has no attempt in flight.
 type requestTable struct {
 	byID      map[string]*trackedRequest
-	openCount int // number of requests in phaseOpen
+	openCount int                   // number of requests in phaseOpen
+	onRemoved func(*trackedRequest) // called for each request that is removed
 }
 
-func newRequestTable() requestTable { return requestTable{byID: map[string]*trackedRequest{}} }
+func newRequestTable(onRemoved func(*trackedRequest)) requestTable {
+	return requestTable{byID: map[string]*trackedRequest{}, onRemoved: onRemoved}
+}
 
 // find returns the request with an ID, or nil.
 func (t *requestTable) find(id string) *trackedRequest { return t.byID[id] }
@@ -155,5 +162,5 @@
 	}
 	r.phase = phaseRemoved
 	delete(t.byID, r.id())
-	r.inbound.Memory.Release()
+	t.onRemoved(r)
 }
--- a/internal/agent/openrequest_test.go
+++ b/internal/agent/openrequest_test.go
@@ -14,7 +14,7 @@
 	inbound.Event = balancer.Request{ID: id}
 	r := newTrackedRequest(inbound)
 	table.add(r)
-	r.addAttempt(func() {})
+	r.addAttempt(0, func() {})
 	return r
 }
 
@@ -31,7 +31,7 @@
 		{"answered", answer, phaseAnswered},
 		{"abandoned", (*requestTable).abandon, phaseAbandoned},
 	} {
-		table := newRequestTable()
+		table := newRequestTable(func(*trackedRequest) {})
 		r := addWithAttempt(&table)
 		if r.phase != phaseOpen || table.findOpen(id) != r {
 			t.Errorf("%s: open: got phase %d, want phaseOpen and the request in the table", test.name, r.phase)
@@ -55,7 +55,7 @@
 // mayHaveRun must be true while an attempt is in flight, and after an attempt that may have run.
 func TestMayHaveRun(t *testing.T) {
 	for _, mayHaveRun := range []bool{false, true} {
-		table := newRequestTable()
+		table := newRequestTable(func(*trackedRequest) {})
 		r := addWithAttempt(&table)
 		if !r.mayHaveRun() {
 			t.Error("mayHaveRun is false with an attempt in flight")
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -20,6 +20,13 @@
 		})
 		return
 	}
+	if !l.recent.mayForward(inbound.Event.ID, l.clock.Now(), inbound.Event.Timeout) {
+		answerUntracked(inbound, frontend.Response{
+			Status: http.StatusConflict,
+			Body:   []byte("a request with this id may have run\n"),
+		})
+		return
+	}
 	if l.isAtRequestLimit() || l.isPastShutdownDeadline() {
 		answerUntracked(inbound, frontend.Response{Status: http.StatusServiceUnavailable})
 		return
@@ -54,6 +61,15 @@
 	l.addEvent(balancer.Abandoned{Request: r.id()})
 }
 
+// handleRemoved releases the memory of a request that has left the table, and remembers it if a repeat could run again.
+func (l *eventLoop) handleRemoved(r *trackedRequest) {
+	r.inbound.Memory.Release()
+	class := l.settings.Classes[r.inbound.Event.Class]
+	if r.mayHaveRun() && class.Idempotency != balancer.Idempotent {
+		l.recent.remember(r.id(), l.clock.Now(), repeatSafeUntil(class, r.firstAttemptAt))
+	}
+}
+
 // answer sends the only response of a request and finishes the request.
 func (l *eventLoop) answer(r *trackedRequest, response frontend.Response) {
 	if response.Status != http.StatusOK && l.log.Enabled(context.Background(), slog.LevelDebug) {
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -56,13 +56,17 @@
 	budgetPartsTotal = 16
 )
 
+// MemoryMB returns the memory of the process in MiB: its limit, or defaultMemoryMB if there is none.
+func (c *Config) MemoryMB() int {
+	if c.MaxMemoryMB == 0 {
+		return defaultMemoryMB
+	}
+	return c.MaxMemoryMB
+}
+
 // MemoryBudget returns how many bytes of memory clients and endpoints may use.
 func (c *Config) MemoryBudget() int64 {
-	memoryMB := int64(c.MaxMemoryMB)
-	if memoryMB == 0 {
-		memoryMB = defaultMemoryMB
-	}
-	return memoryMB * bytesPerMiB * budgetParts / budgetPartsTotal
+	return int64(c.MemoryMB()) * bytesPerMiB * budgetParts / budgetPartsTotal
 }
 
 // effectiveMaxDescriptors returns the lower of the configured limit (0: none) and the system's limit on open file
