Let an endpoint at the address of another one replace it

Callers saw work go to the wrong process: a new one came up at the address of one that had gone and was taken for it. Cause: entries, connections and rules go by ID. While both IDs were listed, requests for the old one, repeats within its cell and traffic for a warm endpoint included, reached the new process.

Change: before a list is applied, the serving endpoints at one address are compared. The one that started later, or was listed there later if that is unknown, stays; the other counts as removed, for the endpoint table, the pool and the decision module alike. An index by address keeps the cost of a delta independent of the size of the fleet.

--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -38,6 +38,7 @@
 	if freshness == outdated {
 		list = endpoint.List{}
 	}
+	list = c.table.ResolveTakeovers(list)
 	c.applyToTable(list)
 	c.publish(list)
 }
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -65,6 +65,7 @@
 	}
 	c.listTimeout = newAdaptiveListTimeout(c.callTimeout)
 	c.cachedList.Complete = true
+	c.cachedList = c.table.ResolveTakeovers(c.cachedList)
 	c.table.Apply(c.cachedList)
 	return c
 }
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -6,12 +6,13 @@
 // before it sends its request, so that a change takes effect before the decision module has handled it. Table is safe
 // for concurrent use.
 type Table struct {
-	mu      sync.RWMutex     // protects entries; held only for map accesses
-	entries map[string]Entry // entries by endpoint ID
+	mu      sync.RWMutex      // protects the maps; held only for accesses to them
+	entries map[string]Entry  // entries by endpoint ID
+	owners  map[string]string // IDs of serving endpoints by address
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: map[string]Entry{}} }
+func NewTable() *Table { return &Table{entries: map[string]Entry{}, owners: map[string]string{}} }
 
 // Apply updates the table from a list. It returns the IDs of the endpoints whose connections are stale and must not be
 // used for new requests, because the endpoint is draining, was removed, was restarted, or has a new address. A draining
@@ -33,23 +34,33 @@
 // applyEntry updates one entry and reports whether connections to the endpoint became stale. The caller holds t.mu.
 func (t *Table) applyEntry(entry Entry) (stale bool) {
 	previous, known := t.entries[entry.ID]
-	if entry.State == StateDeleted {
-		delete(t.entries, entry.ID)
-	} else {
+	t.remove(previous)
+	if entry.State != StateDeleted {
 		t.entries[entry.ID] = entry
 	}
+	if entry.IsServing() {
+		t.owners[entry.Addr] = entry.ID
+	}
 	return known && (!entry.IsServing() || !entry.IsSameProcess(previous))
 }
 
+// remove removes an entry. The caller holds t.mu.
+func (t *Table) remove(entry Entry) {
+	delete(t.entries, entry.ID)
+	if t.owners[entry.Addr] == entry.ID {
+		delete(t.owners, entry.Addr)
+	}
+}
+
 // removeUnlisted removes the entries that are not in a complete list and returns their IDs. The caller holds t.mu.
 func (t *Table) removeUnlisted(listed []Entry) (removed []string) {
 	isListed := make(map[string]bool, len(listed))
 	for _, entry := range listed {
 		isListed[entry.ID] = true
 	}
-	for id := range t.entries {
+	for id, entry := range t.entries {
 		if !isListed[id] {
-			delete(t.entries, id)
+			t.remove(entry)
 			removed = append(removed, id)
 		}
 	}
