Do not repeat a keyed request at an address where another process may have come up

Callers saw requests run twice when a new process came up at the address of one that had gone, before any list said so. Cause: after a reset or a refused connection a request with a key of a zone or cell was repeated at the same endpoint, whose address may belong to a process without memory of the key.

Change: an endpoint to which a connection broke or failed gets no repeat of what may have run for 6 s, the time within which any change is listed, unless a list names it again or all endpoints know the key. First attempts, and repeats of what never ran, are not affected. This changes decisions on purpose: after a reset the repeat goes to another endpoint of the zone or cell, or fails.

Measured: TestNoRepeatAtAddressThatMayHaveBeenTakenOver, both cases of a reset fail without the change.

--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -16,6 +16,7 @@
 	inFlight   []*attempt // oldest first
 	isObserved bool       // the endpoint has had an attempt, a start or a change of state since it was listed
 
+	listedAt   time.Duration // time of the latest list that names the endpoint
 	connection connectionState
 	responses  responseStats
 	ejection   ejectionState
@@ -71,6 +72,14 @@
 		ep.ejection.firstFailureAt < a.sentAt
 }
 
+// mayHaveBeenReplaced reports whether another process, in another zone or cell, may have come up at the address
+// of the endpoint: a connection to it broke or failed, and no list has named it since. Any such change is
+// listed within maxNoticeDelay.
+func (ep *endpoint) mayHaveBeenReplaced(now time.Duration) bool {
+	connection := &ep.connection
+	return connection.hasBroken && connection.brokenAt >= ep.listedAt && now-connection.brokenAt < maxNoticeDelay
+}
+
 // isUsable reports whether the capacity of the endpoint counts as part of the fleet's.
 func (ep *endpoint) isUsable(now time.Duration) bool {
 	isAvailable := !ep.ejection.isUnreachable && !ep.ejection.isEjected(now) && !ep.isUnresponsive(now)
@@ -82,8 +91,16 @@
 	hasReusableConnection bool // the latest attempt left a connection that can be reused
 	lastUsedAt            time.Duration
 	lastAnsweredSentAt    time.Duration // send time of the latest attempt that was answered
+	hasBroken             bool          // a connection has broken, or could not be established
+	brokenAt              time.Duration // time of the latest such event
 }
 
+// maxNoticeDelay is the maximum time until a change of an endpoint is listed.
+const maxNoticeDelay = 6 * time.Second
+
+// recordBroken records that a connection has broken, or could not be established.
+func (c *connectionState) recordBroken(now time.Duration) { c.hasBroken, c.brokenAt = true, now }
+
 // mayBeOpen reports whether an idle connection is probably still open. Connections close after being idle for
 // idleClose; 0: never.
 func (c *connectionState) mayBeOpen(now, idleClose time.Duration) bool {
--- a/balancer/endpointset.go
+++ b/balancer/endpointset.go
@@ -133,5 +133,6 @@
 		ep.ejection.resetOnRestart()
 	}
 	b.endpoints.update(ep, entry)
+	ep.listedAt = b.now
 	b.endpoints.deleteIfPossible(ep)
 }
--- a/balancer/idempotency.go
+++ b/balancer/idempotency.go
@@ -36,7 +36,8 @@
 	case Idempotent:
 		return true
 	case IdempotentWithKey:
-		return rules.isWithinDedupWindow(r, now) && r.isInDedupScope(ep)
+		return rules.isWithinDedupWindow(r, now) && r.isInDedupScope(ep) &&
+			(r.class.DedupScope == DedupEverywhere || !ep.mayHaveBeenReplaced(now))
 	case NotIdempotent:
 		return false
 	}
--- a/balancer/idempotency_test.go
+++ b/balancer/idempotency_test.go
@@ -40,6 +40,51 @@
 	}
 }
 
+// After a connection has broken, another process that does not know the keys may have come up at the address. A request
+// that may have run is not repeated there until a list names the endpoint again, or would have named another one.
+func TestNoRepeatAtAddressThatMayHaveBeenTakenOver(t *testing.T) {
+	s := settings()
+	for i := range s.Classes {
+		s.Classes[i].DedupWindow, s.Classes[i].Deadline = 20*time.Second, 30*time.Second
+	}
+	for _, tt := range []struct {
+		name       string
+		class      int
+		result     balancer.Result
+		between    func(*harness)
+		wantRepeat bool
+	}{
+		{"reset", keyedInCell, balancer.Reset, func(*harness) {}, false},
+		{"reset in a zone", keyedInZone, balancer.Reset, func(*harness) {}, false},
+		{"reset, all endpoints know the key", keyedEverywhere, balancer.Reset, func(*harness) {}, true},
+		{"server error", keyedInCell, balancer.ServerError, func(*harness) {}, true},
+		{"listed again", keyedInCell, balancer.Reset, func(h *harness) {
+			h.advance(ms)
+			h.step(balancer.EndpointList{Kind: balancer.ListDelta, Endpoints: endpoints(1)})
+		}, true},
+		{"later than any notice", keyedInCell, balancer.Reset, func(h *harness) { h.advance(7 * time.Second) }, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, s, 1, endpoints(1))
+			breakConnection(h, tt.result)
+			tt.between(h)
+			h.step(balancer.Request{ID: "q", Class: tt.class, Timeout: 30 * time.Second})
+			h.outcomeAfter("q", balancer.ServerError, ms) // may have run
+			h.advance(time.Second)
+			if repeated := len(h.sent["q"]) > 1; repeated != tt.wantRepeat {
+				t.Errorf("got attempts %v, want a repeat: %v", h.sent["q"], tt.wantRepeat)
+			}
+		})
+	}
+}
+
+// breakConnection ends the attempt of a request with a result.
+func breakConnection(h *harness, result balancer.Result) {
+	h.step(balancer.Request{ID: "broken", Class: notIdempotent, Timeout: 30 * time.Second})
+	h.outcomeAfter("broken", result, ms)
+	h.advance(ms)
+}
+
 // A request with an idempotency key that may have run is repeated only within its deduplication window.
 // Establishing a connection may take up to the connect timeout, so that the repeat must be sent that much
 // earlier.
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -134,6 +134,9 @@
 	ep, connectFailed := a.endpoint, outcome.Result == ConnectFailed
 	threshold := b.outliers.failureThreshold(outcome.Result) // computed before this failure is recorded
 	b.outliers.recordFailure(ep, b.now)
+	if connectFailed || outcome.Result == Reset && !outcome.TooEarly {
+		ep.connection.recordBroken(b.now)
+	}
 	if b.outliers.isSingleConnectionFailure(ep, outcome) {
 		threshold = maxFailureThreshold
 		if connectFailed {
