Log why the frontend closes a connection or refuses a request

Each close that the agent decides, and each request that is not submitted, now has a line at DEBUG with the client and the reason.

--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -88,7 +88,7 @@
 		return err
 	}
 	if err := c.reserveHandler(); err != nil {
-		return c.rejectHead(http.StatusServiceUnavailable)
+		return c.rejectHead(http.StatusServiceUnavailable, closeNoMemory)
 	}
 	return nil
 }
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -158,7 +158,8 @@
 // writeRejection responds to a request that was rejected before it was complete, and closes the sending side. The read
 // deadline ends a read in which net/http waits for the rest of the request. Errors are ignored: they mean that the
 // client has disconnected.
-func (c *connection) writeRejection(status int) {
+func (c *connection) writeRejection(status int, reason closeReason) {
+	c.table.logClose(c, reason)
 	_ = c.SetWriteDeadline(time.Now().Add(incompleteWriteTimeout))
 	_, _ = c.Conn.Write(rejectionText(status))
 	socket.CloseWrite(c.Conn)
@@ -202,12 +203,20 @@
 // evict closes a connection in phaseClosing whose client has stalled within a request. A client that has sent a part of
 // a request is told to retry; there are no unread bytes, so that the response is not lost. Errors are ignored, since
 // the connection is closed regardless.
-func (c *connection) evict() {
+func (c *connection) evict(reason closeReason) {
+	c.table.logClose(c, reason)
 	_ = c.SetWriteDeadline(time.Now().Add(evictionWriteTimeout))
 	_, _ = c.Conn.Write(rejectionText(http.StatusServiceUnavailable))
 	_ = c.finishClose()
 }
 
+// closeIdle closes a connection in phaseClosing that was idle. An error is ignored, since the descriptor is released
+// regardless, and no data is in transit.
+func (c *connection) closeIdle(reason closeReason) {
+	c.table.logClose(c, reason)
+	_ = c.finishClose()
+}
+
 // finishClose closes a connection in phaseClosing. It releases the slot after the close, since the connection holds a
 // descriptor until then.
 func (c *connection) finishClose() error {
--- a/internal/frontend/connectionstate.go
+++ b/internal/frontend/connectionstate.go
@@ -407,7 +407,7 @@
 	number := c.state.request.number
 	c.state.request.timer = time.AfterFunc(after, func() {
 		if c.rejectIfTimedOut(number) {
-			c.writeRejection(http.StatusRequestTimeout)
+			c.writeRejection(http.StatusRequestTimeout, closeTimedOut)
 		}
 	})
 }
--- a/internal/frontend/connectionstate_test.go
+++ b/internal/frontend/connectionstate_test.go
@@ -73,7 +73,7 @@
 func runPhaseSteps(t *testing.T, steps []phaseStep) {
 	t.Helper()
 	timeouts := &Timeouts{ReadStall: testutil.Timeout, ReadTotal: testutil.Timeout}
-	table := newConnectionTable(0, timeouts, newBudget())
+	table := newConnectionTable(0, timeouts, newBudget(), testutil.NewLogger(&testutil.Log{}))
 	c := pipeConnection(t, table)
 	for _, step := range steps {
 		step.event(c)
--- a/internal/frontend/connectiontable.go
+++ b/internal/frontend/connectiontable.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -19,6 +20,7 @@
 	maxOpen  int       // maximum number of open connections; 0: no limit
 	timeouts *Timeouts // the timeouts of the Server
 	budget   *membudget.Budget
+	log      *slog.Logger
 	released chan struct{} // receives a value when a connection is closed; each value wakes one waiter only
 
 	mu            sync.Mutex
@@ -34,11 +36,13 @@
 	lingering  connectionList // connections in phaseClosing whose incoming bytes are discarded
 }
 
-func newConnectionTable(maxOpen int, timeouts *Timeouts, budget *membudget.Budget) *connectionTable {
+func newConnectionTable(maxOpen int, timeouts *Timeouts, budget *membudget.Budget,
+	log *slog.Logger) *connectionTable {
 	return &connectionTable{
 		maxOpen:  maxOpen,
 		timeouts: timeouts,
 		budget:   budget,
+		log:      log,
 		released: make(chan struct{}, 1),
 	}
 }
@@ -103,7 +107,7 @@
 // closeIdle closes the matching idle connections and sets closeWhenIdle permanently.
 func (t *connectionTable) closeIdle(match func(*connection) bool) {
 	for _, c := range t.startCloseIdle(match) {
-		_ = c.finishClose() // an idle connection has no data in transit
+		c.closeIdle(closeShuttingDown)
 	}
 }
 
@@ -126,7 +130,7 @@
 func (t *connectionTable) rejectIncomplete(status int) {
 	for c, number := range t.incompleteRequests() {
 		if c.rejectIncomplete(number) {
-			c.writeRejection(status)
+			c.writeRejection(status, closeShuttingDown)
 		}
 	}
 }
@@ -160,6 +164,6 @@
 func (t *connectionTable) handleConnState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*connection)
 	if ok && c.handleConnState(state) {
-		_ = c.finishClose() // an idle connection has no data in transit
+		c.closeIdle(closeShuttingDown)
 	}
 }
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -45,12 +46,13 @@
 	settings     balancer.Settings
 	timeouts     *Timeouts
 	isNearLimit  func() bool // see connectionTable.isNearLimit
-	createdAt    time.Time   // start of the wait for an endpoint list
+	log          *slog.Logger
+	createdAt    time.Time // start of the wait for an endpoint list
 	shuttingDown atomic.Bool
 }
 
 func newHandler(c *config.Config, agentClock clock.Clock, loop EventLoop, timeouts *Timeouts,
-	isNearLimit func() bool) *handler {
+	isNearLimit func() bool, log *slog.Logger) *handler {
 	h := &handler{
 		loop:        loop,
 		clock:       agentClock,
@@ -59,6 +61,7 @@
 		settings:    c.Settings,
 		timeouts:    timeouts,
 		isNearLimit: isNearLimit,
+		log:         log,
 		createdAt:   time.Now(),
 	}
 	for i, name := range c.Names.Classes {
@@ -117,6 +120,7 @@
 // *RequestError and the connection still allows one, or if the event loop has stopped. Otherwise it aborts the
 // connection. A *RequestError may also occur after the request was submitted (errTooMuchUnread).
 func (h *handler) handleError(w http.ResponseWriter, r *http.Request, err error) {
+	h.logRefusal(r, err)
 	if requestErr, ok := errors.AsType[*RequestError](err); ok {
 		if allowed := connectionOf(r).startResponse(); allowed {
 			h.rejectMalformed(w, r, requestErr)
--- a/internal/frontend/headreader.go
+++ b/internal/frontend/headreader.go
@@ -35,11 +35,11 @@
 func (c *connection) readHead() error {
 	for c.isReading() {
 		head := c.scanner.head()
-		if status := validateHeadSize(head); status != 0 {
-			return c.rejectHead(status)
+		if status, reason := validateHeadSize(head); status != 0 {
+			return c.rejectHead(status, reason)
 		}
 		if !c.reserveHead(head.length) {
-			return c.rejectHead(http.StatusServiceUnavailable)
+			return c.rejectHead(http.StatusServiceUnavailable, closeNoMemory)
 		}
 		if head.isComplete {
 			return c.completeHead()
@@ -51,15 +51,15 @@
 	return nil
 }
 
-// validateHeadSize returns the status with which the request is rejected because of its head, or 0.
-func validateHeadSize(head headState) (status int) {
+// validateHeadSize returns the status with which the request is rejected because of its head, and the reason, or 0.
+func validateHeadSize(head headState) (status int, reason closeReason) {
 	switch {
 	case !head.isComplete && !head.isRequest:
-		return http.StatusBadRequest
+		return http.StatusBadRequest, closeNoRequest
 	case head.length > maxHeadLength || head.lines > maxHeadFields+headLinesWithoutField:
-		return http.StatusRequestHeaderFieldsTooLarge
+		return http.StatusRequestHeaderFieldsTooLarge, closeHeadTooLong
 	}
-	return 0
+	return 0, ""
 }
 
 // readHeadBytes waits for further bytes and reads them.
@@ -81,10 +81,10 @@
 }
 
 // rejectHead responds to a request whose head is invalid or can't be kept.
-func (c *connection) rejectHead(status int) error {
+func (c *connection) rejectHead(status int, reason closeReason) error {
 	c.unread = nil
 	if c.rejectCurrent() {
-		c.writeRejection(status)
+		c.writeRejection(status, reason)
 	}
 	return net.ErrClosed
 }
@@ -96,7 +96,7 @@
 		return nil
 	}
 	if err := c.reserveBody(c.requestMemory(), length); err != nil {
-		return c.rejectHead(http.StatusServiceUnavailable)
+		return c.rejectHead(http.StatusServiceUnavailable, closeNoMemory)
 	}
 	return nil
 }
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -57,7 +57,7 @@
 		if ok {
 			return nil
 		}
-		if socket.HasPending(l.Listener) && l.table.evictStalled(func(*connection) bool { return true }) {
+		if socket.HasPending(l.Listener) && l.table.evictStalled(holdsSlot, closeStalledForSlot) {
 			continue
 		}
 		if !l.sleep(min(wait, pendingPollInterval), l.table.released) {
--- a/internal/frontend/listener_test.go
+++ b/internal/frontend/listener_test.go
@@ -118,7 +118,7 @@
 		t.Fatal(err)
 	}
 	table := newConnectionTable(1, &Timeouts{ReadStall: testutil.Timeout, ReclaimStalled: testutil.Timeout},
-		newBudget())
+		newBudget(), testutil.NewLogger(&testutil.Log{}))
 	listener := newConnectionListener(inner, table, testutil.NewLogger(&testutil.Log{}))
 	t.Cleanup(func() { _ = listener.Close() })
 	return listener
--- a/internal/frontend/memory.go
+++ b/internal/frontend/memory.go
@@ -76,7 +76,7 @@
 	if missing <= 0 || memory.TryGrow(membudget.Heads, missing) {
 		return true
 	}
-	for c.table.evictStalled(holdsHead) {
+	for c.table.evictStalled(holdsHead, closeStalledForMemory) {
 		if memory.TryGrow(membudget.Heads, missing) {
 			return true
 		}
@@ -84,7 +84,10 @@
 	return false
 }
 
-// The functions below report whether a connection holds memory of a kind. Their callers hold the table's mutex.
+// The functions below report whether a connection holds a slot, or memory of a kind. Their callers hold the table's
+// mutex.
+
+func holdsSlot(*connection) bool { return true }
 
 func holdsHead(c *connection) bool { return c.state.requestMemory.Amount(membudget.Heads) > 0 }
 
--- a/internal/frontend/reclaim.go
+++ b/internal/frontend/reclaim.go
@@ -28,7 +28,7 @@
 	}
 	idle, wait := t.takeIdle(now, t.minIdleDuration)
 	if idle != nil {
-		_ = idle.finishClose() // the descriptor is released even if this returns an error
+		idle.closeIdle(closeIdleForSlot)
 		return 0, true
 	}
 	return max(wait, minSlotRetryInterval), false
@@ -98,10 +98,10 @@
 }
 
 // evictStalled evicts the matching client that has stalled for longest, and reports whether there was one.
-func (t *connectionTable) evictStalled(matches func(*connection) bool) bool {
+func (t *connectionTable) evictStalled(matches func(*connection) bool, reason closeReason) bool {
 	stalled := t.takeStalled(time.Now(), matches)
 	if stalled != nil {
-		stalled.evict()
+		stalled.evict(reason)
 	}
 	return stalled != nil
 }
@@ -150,12 +150,12 @@
 func (t *connectionTable) reclaimMemory() {
 	for t.isWaitedFor() {
 		for range t.budget.Waiting(membudget.Handlers) {
-			if !t.closeIdleHandler() && !t.evictStalled(holdsHandler) {
+			if !t.closeIdleHandler() && !t.evictStalled(holdsHandler, closeStalledForMemory) {
 				break
 			}
 		}
 		for range t.budget.Waiting(membudget.Bodies) {
-			if !t.evictStalled(holdsBody) {
+			if !t.evictStalled(holdsBody, closeStalledForMemory) {
 				break
 			}
 		}
@@ -181,7 +181,7 @@
 		return t.timeouts.FirstByte
 	})
 	if idle != nil {
-		_ = idle.finishClose() // the descriptor is released even if this returns an error
+		idle.closeIdle(closeIdleForMemory)
 	}
 	return idle != nil
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -100,9 +100,9 @@
 func NewServer(listener net.Listener, c *config.Config, agentClock clock.Clock, loop EventLoop,
 	budget *membudget.Budget, log *slog.Logger) *Server {
 	s := &Server{Timeouts: DefaultTimeouts()}
-	s.connections = newConnectionTable(maxConnections(c, budget), &s.Timeouts, budget)
+	s.connections = newConnectionTable(maxConnections(c, budget), &s.Timeouts, budget, log)
 	s.listener = newAdmissionListener(newConnectionListener(listener, s.connections, log))
-	s.handler = newHandler(c, agentClock, loop, &s.Timeouts, s.connections.isNearLimit)
+	s.handler = newHandler(c, agentClock, loop, &s.Timeouts, s.connections.isNearLimit, log)
 	s.http = &http.Server{
 		Handler:        s.handler,
 		ConnState:      s.connections.handleConnState,
--- a/internal/telemetry/messages.go
+++ b/internal/telemetry/messages.go
@@ -20,6 +20,8 @@
 	MsgWatchEnded               = "watch ended"
 	MsgPollFailed               = "poll failed"
 	MsgAcceptFailed             = "accept failed"
+	MsgClientConnectionClosed   = "client connection closed"
+	MsgRequestRefused           = "request refused"
 	MsgMemoryShort              = "memory budget exhausted"
 	MsgMemoryUsage              = "memory budget usage"
 	MsgMalformedResponse        = "malformed response"
