Keep clients that reconnect or send at full speed from starving the others

Callers got their answers late or never while clients sent unsound requests, or requests that they gave up, at full speed. Three causes, found with CPU profiles of the agent under TestHostileClients, all of one kind: work for clients that are being turned away came before the requests that had been accepted.

- The accept loop ran ahead: with 600 clients that reconnect after each 400 it made hundreds of goroutines in a row.
It now yields after each connection.
- A closing connection read and discarded what its client sent at full speed, 60 to 75 percent of the CPU.
It now reads 4 KiB each 10 ms, and the accept loop closes the one that has lingered longest itself if it needs the slot.
- A client that had left while its request waited for memory was passed to net/http all the same.
It is dropped now.

--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -3,7 +3,10 @@
 import (
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
+
+	"ashshunt/internal/socket"
 )
 
 // admissionListener is the listener of net/http. It passes connections on once the head of their first request is
@@ -61,6 +64,8 @@
 			return
 		}
 		go l.admit(accepted) // returns after the timeouts of a request at the latest
+		// Requests that have been accepted go first. Otherwise clients that reconnect at full speed keep them waiting.
+		runtime.Gosched()
 	}
 }
 
@@ -87,8 +92,14 @@
 	if err := c.readHead(); err != nil {
 		return err
 	}
+	if socket.Peer(c.Conn).Closed {
+		return net.ErrClosed
+	}
 	if err := c.reserveHandler(); err != nil {
 		return c.rejectHead(http.StatusServiceUnavailable, closeNoMemory)
 	}
+	if socket.Peer(c.Conn).Closed { // the client has left while the request waited
+		return net.ErrClosed
+	}
 	return nil
 }
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -18,6 +17,8 @@
 	minReadTimeout = 300 * time.Millisecond
 	// lingerTimeout bounds the time for which a connection with unread bytes is still read before it is closed.
 	lingerTimeout = 500 * time.Millisecond
+	// lingerReadInterval is the time between two reads of a connection that lingers.
+	lingerReadInterval = 10 * time.Millisecond
 	// incompleteWriteTimeout bounds the write of the response to an incomplete request.
 	incompleteWriteTimeout = 500 * time.Millisecond
 	// evictionWriteTimeout bounds the write of the response to an evicted request. The accept loop waits for it.
@@ -194,10 +195,29 @@
 func (c *connection) lingerAndClose() {
 	socket.CloseWrite(c.Conn)
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	c.table.startLinger(c) // from now on the table may end the wait
-	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
-	c.table.endLinger(c)
-	_ = c.finishClose()
+	c.table.startLinger(c) // from now on the table may close the connection
+	c.discardIncoming()
+	if c.table.endLinger(c) {
+		_ = c.finishClose()
+	}
+}
+
+// discardIncoming reads and discards bytes until the end of the connection, the read deadline, or maxLingerBytes. It
+// reads at intervals: a client that sends at full speed would otherwise use up the CPU.
+func (c *connection) discardIncoming() {
+	for discarded := 0; discarded < maxLingerBytes; {
+		if err := socket.WaitForReadable(c.Conn); err != nil {
+			return
+		}
+		buffer := getReadBuffer()
+		n, err := c.Conn.Read(buffer[:])
+		readBuffers.Put(buffer)
+		if err != nil {
+			return
+		}
+		discarded += n
+		time.Sleep(lingerReadInterval)
+	}
 }
 
 // evict closes a connection in phaseClosing whose client has stalled within a request. A client that has sent a part of
--- a/internal/frontend/headreader.go
+++ b/internal/frontend/headreader.go
@@ -20,12 +20,19 @@
 	headLinesWithoutField = 2
 	// maxHeadLength is the maximum number of bytes of a head. net/http applies the same limit.
 	maxHeadLength = maxHeaderBytes + 4<<10
-	// headReadSize is the number of bytes that are read at a time while a head is incomplete.
-	headReadSize = 4 << 10
+	// readBufferSize is the number of bytes that are read at a time while a head is incomplete or bytes are discarded.
+	readBufferSize = 4 << 10
 )
 
-// headBuffers holds unused buffers for reads of heads. A connection that waits for bytes has none.
-var headBuffers = sync.Pool{New: func() any { return new([headReadSize]byte) }}
+// readBuffers holds unused buffers for reads. A connection that waits for bytes has none.
+var readBuffers sync.Pool
+
+func getReadBuffer() *[readBufferSize]byte {
+	if buffer, ok := readBuffers.Get().(*[readBufferSize]byte); ok {
+		return buffer
+	}
+	return new([readBufferSize]byte)
+}
 
 // readHead reads until the head of the request that is being read is complete, and reserves the memory for the request.
 // It does nothing if no head is being read. If the head is invalid, or if there is no memory left, it responds to the
@@ -67,11 +74,8 @@
 	if err := socket.WaitForReadable(c.Conn); err != nil {
 		return err
 	}
-	buffer, ok := headBuffers.Get().(*[headReadSize]byte)
-	if !ok {
-		buffer = new([headReadSize]byte)
-	}
-	defer headBuffers.Put(buffer)
+	buffer := getReadBuffer()
+	defer readBuffers.Put(buffer)
 	n, err := c.readSocket(buffer[:])
 	c.unread = append(c.unread, buffer[:n]...)
 	if n > 0 {
--- a/internal/frontend/reclaim.go
+++ b/internal/frontend/reclaim.go
@@ -23,8 +23,9 @@
 	if t.hasFreeSlot() {
 		return 0, true
 	}
-	if t.stopLingering(now) {
-		return minSlotRetryInterval, false // its own goroutine closes it
+	if lingering := t.takeLingering(now); lingering != nil {
+		_ = lingering.finishClose() // the descriptor is released even if this returns an error
+		return 0, true
 	}
 	idle, wait := t.takeIdle(now, t.minIdleDuration)
 	if idle != nil {
@@ -113,27 +114,28 @@
 	t.lingering.add(c, time.Now())
 }
 
-// endLinger reverts startLinger.
-func (t *connectionTable) endLinger(c *connection) {
+// endLinger reverts startLinger. It reports false if takeLingering has returned the connection.
+func (t *connectionTable) endLinger(c *connection) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	isLingering := t.lingering.contains(c)
 	t.lingering.remove(c)
+	return isLingering
 }
 
-// stopLingering makes the connection that has lingered longest close, if it has lingered for long enough, and reports
-// whether there was one.
-func (t *connectionTable) stopLingering(now time.Time) bool {
+// takeLingering removes the connection that has lingered longest from the list, if it has lingered for long enough, and
+// returns it. The caller must call finishClose.
+func (t *connectionTable) takeLingering(now time.Time) *connection {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c, since := range t.lingering.all() {
 		if now.Sub(since) < t.timeouts.ReclaimStalled {
-			return false
+			return nil
 		}
 		t.lingering.remove(c)
-		_ = c.Conn.SetReadDeadline(now) // fails only if the connection is closed
-		return true
+		return c
 	}
-	return false
+	return nil
 }
 
 // startReclaiming starts to free memory while requests wait for it.
