Leave a long body in the socket until it is complete

Callers whose requests have bodies of 20 KB got 503 beside clients that stop half way through a large request: whole and half bodies waited for the same memory.

Change: after the head of a request with a body of over 4 KiB the frontend waits until the rest of the body is in the socket, whose buffer it makes large enough, and reserves the memory for it only then. A client that stops within it holds no memory of the agent. If it makes no progress for 100 ms the body is read all the same, provided that there is memory. The request counts as arrived when its last byte was in the socket. Clients that wait for 100 Continue are as before.

--- a/cmd/ashshunt/hostile_clients_test.go
+++ b/cmd/ashshunt/hostile_clients_test.go
@@ -49,6 +49,8 @@
 	addr    string
 	nextID  atomic.Int64
 	stopped chan struct{} // closed at the end of the run
+	// bodySize is the size of the bodies of well-behaved clients; 0: they send none.
+	bodySize int
 }
 
 // hostileClient uses one connection badly and returns when it is done with it.
@@ -63,8 +65,11 @@
 	// clients is the number of hostile clients; 0: the default. Clients that write at full speed are few, since the
 	// machine that runs them would be overloaded otherwise.
 	clients int
+	// bodySize is the size of the bodies of well-behaved clients; 0: they send none.
+	bodySize int
 }{
 	{name: "half bodies", use: sendHalfBody},
+	{name: "half bodies beside whole ones", use: sendHalfBody, bodySize: 20000},
 	{name: "half bodies, then a byte at a time", use: trickleBody},
 	{name: "half heads of short fields", use: sendHalfHead},
 	{name: "half heads of few long fields", use: sendHalfLongHead},
@@ -94,6 +99,7 @@
 			if clients == 0 {
 				clients = intFromEnv(t, hostileClientsEnvVar, defaultHostileClients)
 			}
+			run.bodySize = kind.bodySize
 			outcomes := run.runClients(kind.use, clients)
 			peak := peakMemoryMB(t, process)
 			limit := float64(intFromEnv(t, hostileMemoryEnvVar, minMemoryMB))
@@ -142,7 +148,7 @@
 		addr := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
 			time.Sleep(rng.drawDuration(hostileMinServiceTime, hostileMaxServiceTime))
 			_, _ = io.WriteString(w, r.Header.Get("X-Call-Id")) // an error means that the agent has disconnected
-			if r.URL.Path != wellBehavedPath {
+			if !strings.HasSuffix(r.URL.Path, wellBehavedSuffix) {
 				_, _ = w.Write(make([]byte, max(0, responseSize-len(testutil.RequestID))))
 			}
 		})
--- a/cmd/ashshunt/wellbehaved_client_test.go
+++ b/cmd/ashshunt/wellbehaved_client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -69,7 +70,10 @@
 }
 
 // wellBehavedPath is the path of the requests of well-behaved clients.
-const wellBehavedPath = "/look/well-behaved"
+const (
+	wellBehavedSuffix = "/well-behaved"
+	wellBehavedPath   = "/look" + wellBehavedSuffix
+)
 
 // wellBehavedClient sends one request at a time, on one connection for as long as the agent keeps it open.
 type wellBehavedClient struct {
@@ -96,6 +100,11 @@
 	id := c.run.newID()
 	text := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nX-Budget-Ms: %d\r\n\r\n",
 		wellBehavedPath, id, wellBehavedTimeout.Milliseconds())
+	if c.run.bodySize > 0 {
+		text = fmt.Sprintf("POST /hold/well-behaved HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nX-Budget-Ms: %d\r\n"+
+			"Idempotency-Key: %s\r\nContent-Length: %d\r\n\r\n", id, wellBehavedTimeout.Milliseconds(), id,
+			c.run.bodySize) + strings.Repeat("y", c.run.bodySize)
+	}
 	deadline := time.Now().Add(wellBehavedTimeout + answerSlack)
 	isReused := c.conn != nil
 	outcome, err := c.exchange(text, id, deadline)
--- /dev/null
+++ b/internal/frontend/bodywait.go
@@ -0,0 +1,76 @@
+package frontend
+
+import (
+	"net"
+	"time"
+
+	"ashshunt/internal/membudget"
+	"ashshunt/internal/socket"
+)
+
+// bodyStallTimeout is how long a long body must have made no progress before it is read although it is not complete, if
+// there is memory for it. It is longer than any pause of a client that writes without a break.
+const bodyStallTimeout = 100 * time.Millisecond
+
+// waitForBody waits until a long body is complete, of which the socket holds the last remaining bytes, so that a client
+// that stops within it holds no memory of the agent. If the client makes no progress and there is memory left, it
+// returns before: the system may hold fewer bytes than the body has, or the client writes slowly.
+func (c *connection) waitForBody(memory *membudget.Reservation, length, remaining int64) error {
+	if socket.EnsureReceiveBuffer(c.Conn, int(remaining)) != nil {
+		return nil
+	}
+	defer c.endBodyWait()
+	for queued := int64(-1); c.isReading(); {
+		state := socket.Queued(c.Conn)
+		switch progress := int64(state.Bytes) - queued; {
+		case int64(state.Bytes) >= remaining:
+			c.recordBody(time.Now())
+			return nil
+		case state.Closed:
+			return net.ErrClosed
+		case state.Bytes == 0 && socket.HasUnread(c.Conn): // the system does not say how many
+			return nil
+		case progress > 0:
+			c.recordQueued(state.Bytes, int(progress))
+			queued = int64(state.Bytes)
+		case memory.TryGrow(membudget.Bodies, length):
+			c.recordBodyMemory(length)
+			return nil
+		}
+		_ = c.Conn.SetReadDeadline(time.Now().Add(bodyStallTimeout)) // fails only if the connection is closed
+		socket.WaitForQueued(c.Conn, state.Bytes)
+	}
+	return net.ErrClosed
+}
+
+// endBodyWait clears the read deadline that waitForBody has set, unless the request was rejected in the meantime.
+func (c *connection) endBodyWait() {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.state.request.isQueued = false
+	if c.state.phase == phaseReading {
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	}
+}
+
+// recordQueued records that progress further bytes of the body have arrived, and that the socket holds queued bytes.
+func (c *connection) recordQueued(queued, progress int) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if c.state.phase != phaseReading {
+		return
+	}
+	c.state.request.isQueued = true
+	c.state.request.queuedBytes = queued
+	if progress > 0 && queued > 0 {
+		c.recordProgress(progress, time.Now())
+	}
+}
+
+// recordBody records that all bytes of the body have arrived.
+func (c *connection) recordBody(now time.Time) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.state.request.bodyAt = now
+	c.state.request.isWhole = true
+}
--- a/internal/frontend/connectionstate.go
+++ b/internal/frontend/connectionstate.go
@@ -75,7 +75,10 @@
 
 	bytesSinceProgress int       // bytes that were read since the client last made progress
 	headAt             time.Time // time at which the head was complete; zero before
-	isWhole            bool      // the head is complete, and no body follows
+	isWhole            bool      // all bytes of the request have arrived
+	bodyAt             time.Time // time at which all bytes of a long body had arrived; zero: not known
+	isQueued           bool      // the body waits in the socket, until it is complete
+	queuedBytes        int       // bytes in the socket when the client last made progress, if isQueued is set
 	isWaiting          bool      // the request waits for memory
 	hasWaited          bool      // the request has waited for memory
 	bodyMemory         int64     // reserved bytes for the body
@@ -88,6 +91,14 @@
 // isStallable reports whether a lack of progress is due to the client.
 func (p *requestProgress) isStallable() bool { return !p.isWhole && !p.isWaiting }
 
+// hasNewBytes reports whether bytes of the request have arrived that the agent has not noticed.
+func (c *connection) hasNewBytes() bool {
+	if c.state.request.isQueued {
+		return socket.Queued(c.Conn).Bytes > c.state.request.queuedBytes
+	}
+	return socket.HasUnread(c.Conn)
+}
+
 // remaining returns the time until the request must be rejected; zero or less if it must be rejected now. It is called
 // when the request's timer has fired. A request with at most one read has stalled by then. For a request with several
 // reads, Timeouts.ReadStall counts from the last read, and Timeouts.ReadTotal bounds the request as a whole.
@@ -137,12 +148,14 @@
 	return true
 }
 
-// headTimes returns the time at which the head of the current request was complete, and whether the request has waited
-// for memory since. The time is zero if the head was read together with the previous request.
-func (c *connection) headTimes() (headAt time.Time, hasWaited bool) {
+// arrivalTimes returns the times at which the head and a long body of the current request had arrived, and whether the
+// request has waited for memory since. The times are zero if they are not known. That of the head is not if it was read
+// together with the previous request.
+func (c *connection) arrivalTimes() (headAt, bodyAt time.Time, hasWaited bool) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
-	return c.state.request.headAt, c.state.request.hasWaited
+	request := &c.state.request
+	return request.headAt, request.bodyAt, request.hasWaited
 }
 
 // setWaiting records whether the request waits for memory.
--- a/internal/frontend/headreader.go
+++ b/internal/frontend/headreader.go
@@ -93,13 +93,19 @@
 	return net.ErrClosed
 }
 
-// completeHead handles the end of a head: it reserves the memory for the body.
+// completeHead handles the end of a head. It waits for a long body and reserves the memory for it.
 func (c *connection) completeHead() error {
-	length := statedBodyLength(c.unread)
-	if !c.recordHead(time.Now(), length == 0) {
+	head := parseBodyFields(c.unread)
+	if !c.recordHead(time.Now(), head.length == 0) || head.length <= unreservedBodyBytes {
 		return nil
 	}
-	if err := c.reserveBody(c.requestMemory(), length); err != nil {
+	memory := c.requestMemory()
+	if remaining := head.length - int64(c.scanner.bytesBehindHead()); remaining > 0 && !head.expectsContinue {
+		if err := c.waitForBody(memory, head.length, remaining); err != nil {
+			return err
+		}
+	}
+	if err := c.reserveBody(memory, head.length); err != nil {
 		return c.rejectHead(http.StatusServiceUnavailable, closeNoMemory)
 	}
 	return nil
@@ -111,23 +117,29 @@
 	contentLengthBits = 63
 )
 
-// statedBodyLength returns the length of the body that a head states, or 0 if it is missing or invalid. It returns the
-// maximum for longer ones.
-func statedBodyLength(head []byte) int64 {
+// bodyFields are the fields of a head that concern the body.
+type bodyFields struct {
+	length          int64 // 0 if it is missing or invalid, and the maximum for longer bodies
+	expectsContinue bool  // the client sends the body only after an interim response
+}
+
+// parseBodyFields returns the fields of a head that concern the body.
+func parseBodyFields(head []byte) (fields bodyFields) {
 	for line := range bytes.Lines(head) {
 		line = bytes.TrimSpace(line)
 		if len(line) == 0 {
-			return 0
+			break
 		}
 		name, value, _ := bytes.Cut(line, []byte{':'})
-		if !bytes.EqualFold(name, []byte("Content-Length")) {
-			continue
-		}
-		length, err := strconv.ParseUint(string(bytes.TrimSpace(value)), contentLengthBase, contentLengthBits)
-		if err != nil {
-			return 0
+		switch {
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			length, err := strconv.ParseUint(string(bytes.TrimSpace(value)), contentLengthBase, contentLengthBits)
+			if err == nil {
+				fields.length = min(int64(length), protocol.MaxBodySize)
+			}
+		case bytes.EqualFold(name, []byte("Expect")):
+			fields.expectsContinue = true
 		}
-		return min(int64(length), protocol.MaxBodySize)
 	}
-	return 0
+	return fields
 }
--- a/internal/frontend/memory.go
+++ b/internal/frontend/memory.go
@@ -81,6 +81,7 @@
 			return true
 		}
 	}
+	c.table.budget.RecordRefused(membudget.Heads)
 	return false
 }
 
@@ -138,7 +139,7 @@
 // headArrival returns the time at which a request without a body arrived. now is the time if it is unknown because the
 // head was read together with the previous request.
 func (c *connection) headArrival(now time.Time) time.Time {
-	if headAt, _ := c.headTimes(); !headAt.IsZero() {
+	if headAt, _, _ := c.arrivalTimes(); !headAt.IsZero() {
 		return headAt
 	}
 	return now
@@ -147,7 +148,10 @@
 // bodyArrival returns the time at which the last byte of a body arrived, which has just been read. If the request has
 // waited for memory, the byte may have been in the socket for some time.
 func (c *connection) bodyArrival(now time.Time) time.Time {
-	headAt, hasWaited := c.headTimes()
+	headAt, bodyAt, hasWaited := c.arrivalTimes()
+	if !bodyAt.IsZero() {
+		return bodyAt
+	}
 	if !hasWaited {
 		return now
 	}
--- a/internal/frontend/memory_test.go
+++ b/internal/frontend/memory_test.go
@@ -161,6 +161,80 @@
 	expectBalance(t, budget)
 }
 
+// A long body that is written slowly, or only after an interim response, is served. It counts as arrived with its last
+// byte.
+func TestSlowLongBodies(t *testing.T) {
+	for _, expectsContinue := range []bool{false, true} {
+		t.Run(fmt.Sprint("expects 100: ", expectsContinue), func(t *testing.T) {
+			t.Parallel()
+			budget := smallBudget()
+			loop := newFakeEventLoop(releaseAndRespond)
+			close(loop.ready)
+			server := startServerWithBudget(t, budget, loop)
+			client, writtenAt := writeSlowly(t, server, expectsContinue)
+			if status := testutil.ReadStatus(t, client); status != http.StatusOK {
+				t.Fatalf("got status %d, want 200", status)
+			}
+			if request := testutil.Receive(t, loop.received); request.ArrivedAt < writtenAt {
+				t.Errorf("got an arrival %v before the last byte", writtenAt-request.ArrivedAt)
+			}
+			_ = client.Close() // an error does not affect the test
+			expectBalance(t, budget)
+		})
+	}
+}
+
+// writeSlowly sends a request with a long body in parts. It returns the time at which it has written the last byte.
+func writeSlowly(t *testing.T, server *Server, expectsContinue bool) (client net.Conn, writtenAt time.Duration) {
+	t.Helper()
+	headers := fmt.Sprintf("Content-Length: %d\r\n", longBodySize)
+	if expectsContinue {
+		headers += "Expect: 100-continue\r\n"
+	}
+	client = testutil.Dial(t, server.Addr(), testutil.RawPost(id, headers))
+	if expectsContinue {
+		if status := testutil.ReadStatus(t, client); status != http.StatusContinue {
+			t.Fatalf("got status %d, want 100", status)
+		}
+	}
+	body := strings.Repeat("x", longBodySize)
+	for _, part := range []string{body[:100], body[100:30000], body[30000 : longBodySize-1]} {
+		testutil.Write(t, client, part)
+		time.Sleep(bodyStallTimeout / 2)
+	}
+	writtenAt = server.handler.clock.Now()
+	testutil.Write(t, client, body[longBodySize-1:])
+	return client, writtenAt
+}
+
+// A client that stops within a long body costs no memory for it while others need that.
+func TestHalfBodiesHoldNoMemoryThatOthersNeed(t *testing.T) {
+	t.Parallel()
+	budget := smallBudget()
+	submitted := make(chan *Request, 2)
+	loop := newFakeEventLoop(func(r *Request) { submitted <- r })
+	close(loop.ready)
+	server := startServerWithBudget(t, budget, loop)
+	testutil.Dial(t, server.Addr(), longPost(testutil.NthID(1)))
+	holder := testutil.Receive(t, submitted)
+	for i := range 5 {
+		whole := longPost(testutil.NthID(10 + i))
+		testutil.Dial(t, server.Addr(), whole[:len(whole)-1])
+	}
+	waitForIncomplete(t, server, 6)
+	time.Sleep(2 * bodyStallTimeout)
+	if waiting := budget.Waiting(membudget.Bodies); waiting != 0 {
+		t.Errorf("got %d half bodies that wait for memory, want none", waiting)
+	}
+	whole := testutil.Dial(t, server.Addr(), longPost(testutil.NthID(2)))
+	testutil.WaitFor(t, "the wait for memory", func() bool { return budget.Waiting(membudget.Bodies) == 1 })
+	releaseAndRespond(holder)
+	releaseAndRespond(testutil.Receive(t, submitted))
+	if status := testutil.ReadStatus(t, whole); status != http.StatusOK {
+		t.Errorf("got status %d for the whole request, want 200", status)
+	}
+}
+
 // Whatever becomes of a request, its memory is released.
 func TestMemoryIsReleasedOnEveryPath(t *testing.T) {
 	body := strings.Repeat("x", longBodySize)
--- a/internal/frontend/reclaim.go
+++ b/internal/frontend/reclaim.go
@@ -75,7 +75,7 @@
 
 // takeStalled selects the matching connection whose client has made no progress with its request for the longest time,
 // moves it to phaseClosing and returns it. The caller must call evict. It returns nil if no client has stalled for long
-// enough. A connection with unread bytes has not stalled: the agent has not read them yet.
+// enough. A client has not stalled if the agent has not noticed its bytes yet.
 func (t *connectionTable) takeStalled(now time.Time, matches func(*connection) bool) *connection {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -90,7 +90,7 @@
 		if candidates++; candidates > maxEvictionCandidates {
 			break
 		}
-		if !socket.HasUnread(c.Conn) {
+		if !c.hasNewBytes() {
 			c.enterClosing()
 			return c
 		}
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -162,6 +162,13 @@
 	}
 }
 
+// bytesBehindHead returns the number of bytes that were added behind a head whose body has an unknown length.
+func (s *requestScanner) bytesBehindHead() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.unscanned)
+}
+
 // bodyBytesRemaining returns the number of bytes of the current request's body that were not added.
 func (s *requestScanner) bodyBytesRemaining() int {
 	s.mu.Lock()
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -116,6 +116,12 @@
 	}
 }
 
+// RecordRefused records, and logs, that a reservation without a wait has failed for good.
+func (b *Budget) RecordRefused(kind Kind) {
+	b.pools[kind].refused.Add(1)
+	b.logShortage(kind)
+}
+
 // logShortage logs that memory of a kind could not be reserved at once, unless that was logged just before.
 func (b *Budget) logShortage(kind Kind) {
 	if b.startShortageLog(kind, time.Now()) {
--- a/internal/membudget/pool.go
+++ b/internal/membudget/pool.go
@@ -33,7 +33,6 @@
 	p.waiting.Add(1)
 	defer p.waiting.Add(-1)
 	if n > p.limit || p.available.Acquire(ctx, n) != nil {
-		p.refused.Add(1)
 		return false
 	}
 	p.recordReserved(n)
--- a/internal/membudget/reservation.go
+++ b/internal/membudget/reservation.go
@@ -24,10 +24,7 @@
 	if r == nil {
 		return true
 	}
-	p := r.budget.pools[kind]
-	if !p.tryReserve(n) {
-		p.refused.Add(1)
-		r.budget.logShortage(kind)
+	if !r.budget.pools[kind].tryReserve(n) {
 		return false
 	}
 	r.add(kind, n)
@@ -43,6 +40,7 @@
 	if !p.tryReserve(n) {
 		r.budget.logShortage(kind)
 		if !p.reserve(ctx, n) {
+			p.refused.Add(1)
 			return &ShortageError{Kind: kind}
 		}
 	}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -146,6 +146,55 @@
 	return err != nil || isPending
 }
 
+// QueueState is the state of the received bytes of a socket that were not read.
+type QueueState struct {
+	Bytes  int
+	Closed bool // no more bytes will arrive
+}
+
+// Queued returns the state of the received bytes of a connection that were not read.
+func Queued(conn net.Conn) QueueState {
+	raw, err := rawConn(conn)
+	if err != nil {
+		return QueueState{Closed: true}
+	}
+	state := QueueState{Closed: true}
+	_ = raw.Control(func(fd uintptr) { // fails on a closed connection
+		// In this order no byte is missed: none arrives after the close.
+		state.Closed = isHungUp(fd)
+		state.Bytes = queuedBytes(fd, unix.TIOCINQ)
+	})
+	return state
+}
+
+// WaitForQueued blocks until more than the given number of bytes wait in a socket, the peer has closed its side, or the
+// read deadline has passed.
+func WaitForQueued(conn net.Conn, moreThan int) {
+	raw, err := rawConn(conn)
+	if err != nil {
+		return
+	}
+	_ = raw.Read(func(fd uintptr) bool { // the caller examines the state
+		return queuedBytes(fd, unix.TIOCINQ) > moreThan || isHungUp(fd)
+	})
+}
+
+// EnsureReceiveBuffer makes the system hold at least the given number of received bytes that are not read, if it
+// supports that.
+func EnsureReceiveBuffer(conn net.Conn, bytes int) error {
+	raw, err := rawConn(conn)
+	if err != nil {
+		return err
+	}
+	controlErr := raw.Control(func(fd uintptr) {
+		// Raising the low-water mark grows the buffer, and lowering it does not shrink it again.
+		if err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVLOWAT, bytes); err == nil {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVLOWAT, 1)
+		}
+	})
+	return errors.Join(controlErr, err)
+}
+
 // HasUnacknowledged reports whether the peer's machine has not acknowledged all bytes that were written to a
 // connection. A response acknowledges its request, so that bytes which arrive before are no response to it.
 // HasUnacknowledged reports false if that is unknown.
