Do not close a connection as idle while its next request is already read

A request that was read together with the previous one, and that net/http had not parsed yet, could be closed without an answer when its connection was reclaimed or a shutdown closed idle connections: the connection counted as idle as soon as the previous response was written.

Change: the scanner knows whether bytes behind the current request start another one; such a connection goes from serving to reading. Bytes that were noticed in the socket do not count as progress once more when they are read.

TestRequestReadWithPreviousOneIsNotClosed fails without the change.

--- a/internal/frontend/connectionstate.go
+++ b/internal/frontend/connectionstate.go
@@ -88,6 +88,13 @@
 // from being evicted.
 const minProgressBytes = 1 << 10
 
+// takeQueued records that n bytes have been read, and returns how many of them were not noticed in the socket before.
+func (p *requestProgress) takeQueued(n int) (unnoticed int) {
+	noticed := min(n, p.queuedBytes)
+	p.queuedBytes -= noticed
+	return n - noticed
+}
+
 // isStallable reports whether a lack of progress is due to the client.
 func (p *requestProgress) isStallable() bool { return !p.isWhole && !p.isWaiting }
 
@@ -220,8 +227,8 @@
 	defer c.table.mu.Unlock()
 	switch c.state.phase {
 	case phaseReading:
-		if n > 0 {
-			c.recordProgress(n, time.Now())
+		if unnoticed := c.state.request.takeQueued(n); unnoticed > 0 {
+			c.recordProgress(unnoticed, time.Now())
 		}
 	case phaseServing:
 		if n > 0 { // net/http reads ahead to detect a disconnect
@@ -358,7 +365,7 @@
 func (c *connection) enterIdleOrReading() {
 	switch {
 	case c.state.isFinished() || c.table.idle.contains(c):
-	case c.state.nextRequestStarted:
+	case c.state.nextRequestStarted || c.scanner.hasNextRequest():
 		c.enterReading()
 	default:
 		c.enterIdle()
--- a/internal/frontend/listener_test.go
+++ b/internal/frontend/listener_test.go
@@ -173,6 +173,31 @@
 	}
 }
 
+// A request that was read together with the previous one must not be closed as idle: it would get no answer.
+func TestRequestReadWithPreviousOneIsNotClosed(t *testing.T) {
+	const head = "GET / HTTP/1.1\r\n\r\n"
+	listener := newTestListener(t)
+	client, conn := dialAndAccept(t, listener)
+	testutil.Write(t, client, head+head)
+	testutil.WaitFor(t, "both requests", func() bool { return socket.Queued(conn.Conn).Bytes == 2*len(head) })
+	if n, err := conn.Read(make([]byte, 100)); n != 2*len(head) || err != nil {
+		t.Fatalf("got %d bytes and error %v, want both requests", n, err)
+	}
+	conn.scanner.startBody(0)
+	conn.startResponse()
+	listener.table.handleConnState(conn, http.StateIdle) // net/http has the second request, and has not parsed it yet
+	listener.table.closeAllIdle()
+	if !conn.isReading() {
+		t.Errorf("got phase %d, want phaseReading", conn.state.phase)
+	}
+	conn.scanner.startBody(0)
+	conn.startResponse()
+	listener.table.handleConnState(conn, http.StateIdle)
+	if conn.state.phase != phaseClosing {
+		t.Errorf("after the second request: got phase %d, want phaseClosing in a shutdown", conn.state.phase)
+	}
+}
+
 // failingListener is a listener whose next accept calls fail.
 type failingListener struct {
 	net.Listener
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -162,6 +162,13 @@
 	}
 }
 
+// hasNextRequest reports whether bytes behind the current request were added that start another one.
+func (s *requestScanner) hasNextRequest() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state != scanImpossible && s.startLength > 0
+}
+
 // bytesBehindHead returns the number of bytes that were added behind a head whose body has an unknown length.
 func (s *requestScanner) bytesBehindHead() int {
 	s.mu.Lock()
