Tell the decision module how long a request has waited before its step

While the agent is busy or was stopped, or a request has waited for memory, the step that takes it is late.

Change: Request.Delay has what has passed beyond a tick, and the module's deadline and objective are earlier by that. The timeout itself stays as it was, since the module detects clients' retries by unusual ones.

TestLateStepShortensModuleDeadline fails without the change (80 ms late).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -135,8 +135,8 @@
 	r := &request{
 		id:            event.ID,
 		class:         class,
-		objectiveAt:   b.now + min(class.Objective, event.Timeout),
-		deadline:      b.now + event.Timeout,
+		objectiveAt:   b.now - event.Delay + min(class.Objective, event.Timeout),
+		deadline:      b.now - event.Delay + event.Timeout,
 		isClientRetry: event.ClientRetry,
 		workNs:        float64(event.Work),
 	}
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -61,7 +61,8 @@
 type Request struct {
 	ID          string        // unique among open requests
 	Class       int           // position in Settings.Classes
-	Timeout     time.Duration // time until the client stops waiting
+	Timeout     time.Duration // time until the client stops waiting, without Delay
+	Delay       time.Duration // part of Timeout that has passed because the agent was delayed
 	Work        time.Duration // expected service time; 0: unknown
 	ClientRetry bool          // the client marked the request as a retry
 	Key         string        // key for ordering and cache affinity; "": unknown
--- a/internal/agent/deadlineguard.go
+++ b/internal/agent/deadlineguard.go
@@ -30,9 +30,10 @@
 		return event
 	}
 	event.Timeout = l.moduleTimeout(now, r.inbound)
+	event.Delay = max(0, now-r.inbound.ArrivedAt-l.tick)
 	// Attempts must not time out before the module's deadline for the request. Otherwise the module would schedule a
 	// retry for which no time is left, and the request would stay open until the deadline guard fires.
-	r.attemptsUntil = min(now+event.Timeout, r.inbound.Deadline-minAttemptMargin)
+	r.attemptsUntil = min(now-event.Delay+event.Timeout, r.inbound.Deadline-minAttemptMargin)
 	return event
 }
 
@@ -41,7 +42,7 @@
 func (l *eventLoop) moduleTimeout(now time.Duration, inbound *frontend.Request) time.Duration {
 	// A step takes place within a tick of the arrival unless this machine is overloaded. A longer delay must not reduce
 	// the timeout: the module treats a request as a client's retry if its timeout differs from the class's usual one
-	// by more than two ticks.
+	// by more than two ticks. It gets the rest of the delay separately.
 	stepDelay := min(now-inbound.ArrivedAt, l.tick)
 	return inbound.Deadline - attemptMargin - inbound.ArrivedAt - stepDelay
 }
--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -139,13 +139,20 @@
 }
 
 // stepLate submits a request with a timeout of 6 s to an event loop with a tick of 1 ms and steps the loop after delay.
-// It returns the request, the time of the step and the timeout that the module gets.
-func stepLate(t *testing.T, delay time.Duration) (r *trackedRequest, now, timeout time.Duration) {
+// It returns the request, the time of the step and the time that the module has left for the request.
+func stepLate(t *testing.T, delay time.Duration) (r *trackedRequest, now, timeLeft time.Duration) {
+	t.Helper()
+	r, now, event := stepLateWithEvent(t, delay)
+	return r, now, event.Timeout - event.Delay
+}
+
+// stepLateWithEvent is like stepLate, but returns the event that the module gets.
+func stepLateWithEvent(t *testing.T, delay time.Duration) (r *trackedRequest, now time.Duration, got balancer.Request) {
 	t.Helper()
 	l := newTestLoop(t)
 	l.module = scriptedModule(func(_ time.Duration, event balancer.Event) []balancer.Action {
 		if request, ok := event.(balancer.Request); ok {
-			timeout = request.Timeout
+			got = request
 		}
 		return nil
 	})
@@ -153,15 +160,27 @@
 	r = l.requests.find(id)
 	now = r.inbound.ArrivedAt + delay
 	l.step(context.Background(), now)
-	return r, now, timeout
+	return r, now, got
 }
 
 // A delayed step must not reduce the module's timeout by more than a tick. Otherwise the module would treat all
 // requests of the step as retries of clients, which it detects by unusual timeouts.
 func TestLateStepDoesNotReduceTimeout(t *testing.T) {
-	_, _, timeout := stepLate(t, 80*time.Millisecond)
-	if want := 6*time.Second - attemptMargin - time.Millisecond; timeout != want {
-		t.Errorf("got a module timeout of %v, want %v", timeout, want)
+	_, _, event := stepLateWithEvent(t, 80*time.Millisecond)
+	if want := 6*time.Second - attemptMargin - time.Millisecond; event.Timeout != want {
+		t.Errorf("got a module timeout of %v, want %v", event.Timeout, want)
+	}
+}
+
+// The module must know how much of the timeout has passed in a delayed step. Otherwise it would keep a request that
+// waits for a retry until the deadline guard fires.
+func TestLateStepShortensModuleDeadline(t *testing.T) {
+	for _, delay := range []time.Duration{0, time.Millisecond, 80 * time.Millisecond} {
+		r, now, timeout := stepLate(t, delay)
+		if moduleDeadline := now + timeout; moduleDeadline > r.inbound.Deadline-attemptMargin {
+			t.Errorf("step delayed by %v: the module's deadline is %v before the client's, want %v", delay,
+				r.inbound.Deadline-moduleDeadline, attemptMargin)
+		}
 	}
 }
 
