--- a/cmd/ashshunt/soak_discovery_test.go
+++ b/cmd/ashshunt/soak_discovery_test.go
@@ -156,15 +156,20 @@
 	}
 }
 
-// recordDelivery records that a list is sent to the agent.
-func (d *soakDiscovery) recordDelivery(list soakList) {
+// recordDelivery records that a list is sent to the agent. It reports false if the watch has become silent, so that the
+// list is not sent and does not notify the agent.
+func (d *soakDiscovery) recordDelivery(watch *soakWatch, list soakList) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if watch.silent {
+		return false
+	}
 	for _, e := range list.Servers {
 		if _, drains := d.drainNotifiedAt[e.ID]; drains && e.State != "SERVING" {
 			d.recordNotifiedLocked(e.ID)
 		}
 	}
+	return true
 }
 
 // recordNotifiedLocked records that the agent is notified of an endpoint's drain, now at the latest. The caller holds
@@ -212,12 +217,6 @@
 	delete(d.watches, watch)
 }
 
-func (d *soakDiscovery) isSilent(watch *soakWatch) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return watch.silent
-}
-
 // serveWatch responds to a watch with the complete list and subsequent changes.
 func (d *soakDiscovery) serveWatch(w http.ResponseWriter, r *http.Request, addrIndex int) {
 	watch := d.addWatch(addrIndex)
@@ -226,18 +225,17 @@
 	}
 	defer d.removeWatch(watch)
 	for {
-		line := ""
+		line, list := "", soakList{}
 		select {
-		case list := <-watch.changes:
+		case list = <-watch.changes:
 			line = list.json()
-			d.recordDelivery(list)
 		case <-time.After(heartbeatInterval):
 		case <-watch.stopped:
 			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
-		if d.isSilent(watch) {
+		if !d.recordDelivery(watch, list) {
 			continue
 		}
 		_, _ = w.Write([]byte(line + "\n")) // fails if the agent has disconnected
--- a/cmd/ashshunt/soak_test.go
+++ b/cmd/ashshunt/soak_test.go
@@ -151,8 +151,8 @@
 }
 
 // soakConfigFormat is the format of the agent's configuration. Its arguments are the address of the agent, the address
-// of discovery, the limit of descriptors, the cached endpoint list and the classes.
-const soakConfigFormat = `{"name":"n1","listen":%q,"discovery":%q,"seed":"1","limits":{"memory_mb":192,"sockets":%d},
+// of discovery, the limits of memory and descriptors, the cached endpoint list and the classes.
+const soakConfigFormat = `{"name":"n1","listen":%q,"discovery":%q,"seed":"1","limits":{"memory_mb":%d,"sockets":%d},
  "known":%s,"settings":{"Balancers":1,"Me":0,"TickMs":5,"MembershipMode":"automatic","Dcs":["a"],"Kinds":["m"],
  "Contract":{"ColdFrom":0.3,"RampTimeMs":4000,"FallMs":1500,"FallMultiple":3,"DrainGraceMs":2000,"GraceToAnswerMs":20},
  "PolicyLimits":{"ConnectTimeoutMs":150,"TryLimit":5,"IdleCloseMs":60000,"RetryAfter":true,"MaxRetryAfterMs":3000,
@@ -167,11 +167,11 @@
 			c.name, c.deadline.Milliseconds()/2, c.deadline.Milliseconds(),
 			c.idempotency, c.dedupScope, c.dedupWindow.Milliseconds()))
 	}
-	sockets := 1024
+	memory, sockets := 192, 1024
 	if s.idleClients {
-		sockets = 160
+		memory, sockets = minMemoryMB, 160
 	}
-	s.file.write(s.t, fmt.Sprintf(soakConfigFormat, s.listen, s.discovery.currentAddr(), sockets,
+	s.file.write(s.t, fmt.Sprintf(soakConfigFormat, s.listen, s.discovery.currentAddr(), memory, sockets,
 		s.discovery.completeList(), strings.Join(profiles, ",")))
 }
 
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -132,6 +132,7 @@
 
 // run handles messages and timers and steps the module until ctx is done.
 func (l *eventLoop) run(ctx context.Context) {
+	defer l.releaseMemory()
 	defer close(l.done)
 	l.discovery.Start(ctx)
 	wakeTimer := time.NewTimer(0)
@@ -155,6 +156,13 @@
 	}
 }
 
+// releaseMemory releases the memory of the requests that are in the table when the loop stops.
+func (l *eventLoop) releaseMemory() {
+	for _, r := range l.requests.byID {
+		r.inbound.Memory.Release()
+	}
+}
+
 // nextStepAt returns the earliest time of the next step. Steps are at least a tick apart. A step handles all events
 // queued since the previous one.
 func (l *eventLoop) nextStepAt() time.Duration { return l.lastStepAt + l.tick }
