Let silent connections give way sooner while a client waits for a slot

All slots were taken by silent connections, which keep theirs for 250 ms, and requests waited in the accept queue that long.

A client whose connection is closed before its first byte sends its request on a new one.

--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -49,15 +49,15 @@
 	return l.table.add(accepted), nil
 }
 
-// waitForSlot blocks until the limit allows one more connection. While another client waits for a slot, clients that
-// have stalled within a request are evicted. It returns net.ErrClosed if the listener is closed.
+// waitForSlot blocks until the limit allows one more connection. While another client waits for a slot, those
+// that are silent or have stalled within a request give way. It returns net.ErrClosed if the listener is closed.
 func (l *connectionListener) waitForSlot() error {
 	for {
 		wait, ok := l.table.ensureSlot(time.Now())
 		if ok {
 			return nil
 		}
-		if socket.HasPending(l.Listener) && l.table.evictStalled(holdsSlot, closeStalledForSlot) {
+		if socket.HasPending(l.Listener) && l.table.freeSlotForPending() {
 			continue
 		}
 		if !l.sleep(min(wait, pendingPollInterval), l.table.released) {
--- a/internal/frontend/reclaim.go
+++ b/internal/frontend/reclaim.go
@@ -35,6 +35,23 @@
 	return max(wait, minSlotRetryInterval), false
 }
 
+// freeSlotForPending frees a slot for a client that waits in the accept queue. It closes the connection that has been
+// open for longest without a byte or, if there is none, that of the client that has stalled for longest within its
+// request. It reports whether there was one.
+func (t *connectionTable) freeSlotForPending() bool {
+	silent, _ := t.takeIdle(time.Now(), func(c *connection) time.Duration {
+		if c.state.hadRequest {
+			return t.timeouts.ReclaimIdle
+		}
+		return t.timeouts.ReclaimStalled
+	})
+	if silent != nil {
+		silent.closeIdle(closeIdleForSlot)
+		return true
+	}
+	return t.evictStalled(holdsSlot, closeStalledForSlot)
+}
+
 func (t *connectionTable) hasFreeSlot() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -54,7 +54,7 @@
 	ReclaimUnused time.Duration
 	// ReclaimStalled is how long a client must have made no progress with its request before its connection may be
 	// closed to free its descriptor or memory for another client. It also applies to idle connections if memory is
-	// short.
+	// short, and to connections without a request while another client waits in the accept queue.
 	ReclaimStalled time.Duration
 	// MemoryWait is how long a request waits for memory before it is rejected.
 	MemoryWait time.Duration
