Handle waiting answers before the deadline guards of a delayed loop

Callers got a 502 although the endpoint's response waited in the agent. If the event loop is delayed by 15 ms or more (CPU, garbage collection), a response in its queue, or a timer of the decision module, and the deadline guard of the same request are due together; the guard came first and logged an internal error.

Change: the loop handles queued messages before timers, and the module gets its step before the guards that are due.

TestDelayedLoopHandlesAnswersBeforeGuards failed before (502 for a response that waited).

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -138,8 +138,7 @@
 	wakeTimer := time.NewTimer(0)
 	defer wakeTimer.Stop()
 	for {
-		now := l.clock.Now()
-		l.handleDueTimers(now)
+		now := l.handleDue(ctx)
 		if len(l.pending) > 0 && now >= l.nextStepAt() {
 			l.step(ctx, now)
 			continue
@@ -152,10 +151,18 @@
 		case m := <-l.messages:
 			m.handle(ctx, l)
 		}
-		l.handleQueuedMessages(ctx)
 	}
 }
 
+// handleDue handles the messages in the queue and the timers that are due, and returns the time of that. Messages come
+// first: if the loop was delayed, a response may wait whose deadline guard is due.
+func (l *eventLoop) handleDue(ctx context.Context) (now time.Duration) {
+	l.handleQueuedMessages(ctx)
+	now = l.clock.Now()
+	l.handleDueTimers(ctx, now)
+	return now
+}
+
 // releaseMemory releases the memory of the requests that are in the table when the loop stops.
 func (l *eventLoop) releaseMemory() {
 	for _, r := range l.requests.byID {
@@ -163,7 +170,8 @@
 	}
 }
 
-// nextStepAt returns the earliest time of the next step. Steps are at least a tick apart. A step handles all events
+// nextStepAt returns the earliest time of the next step. Steps are at least a tick apart, except for those that precede
+// a deadline guard (handleDueTimers). A step handles all events
 // queued since the previous one.
 func (l *eventLoop) nextStepAt() time.Duration { return l.lastStepAt + l.tick }
 
--- a/internal/agent/timers.go
+++ b/internal/agent/timers.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"context"
 	"time"
 
 	"ashshunt/balancer"
@@ -20,15 +21,23 @@
 	index    int // index in the heap, or notQueued
 }
 
-// handleDueTimers removes and handles the timers that are due.
-func (l *eventLoop) handleDueTimers(now time.Duration) {
+// handleDueTimers removes and handles the timers that are due. If a deadline guard is due together with events of the
+// module, the loop was delayed. The module then gets its step first, since it may have an answer to the request.
+func (l *eventLoop) handleDueTimers(ctx context.Context, now time.Duration) {
+	var guarded []*trackedRequest
 	for t := l.timers.popDue(now); t != nil; t = l.timers.popDue(now) {
 		if t.request != nil {
-			l.handleDeadlineGuard(t.request)
+			guarded = append(guarded, t.request)
 		} else {
 			l.addEvent(balancer.TimerFired{Token: t.token})
 		}
 	}
+	if len(guarded) > 0 && len(l.pending) > 0 {
+		l.step(ctx, now)
+	}
+	for _, r := range guarded {
+		l.handleDeadlineGuard(r)
+	}
 }
 
 // timerQueue is a priority queue of timers, ordered by dueAt. Timers with equal dueAt are in the order of insertion.
--- a/internal/agent/timers_test.go
+++ b/internal/agent/timers_test.go
@@ -1,8 +1,13 @@
 package agent
 
 import (
+	"context"
+	"net/http"
 	"testing"
 	"time"
+
+	"ashshunt/balancer"
+	"ashshunt/internal/testutil"
 )
 
 // The queue must return timers in the order of dueAt, and timers with equal dueAt in the order of insertion. It must
@@ -39,4 +44,39 @@
 	}
 }
 
+// If the loop is delayed beyond the deadline guard of a request, the response or the answer of the module that waits
+// must come before the guard, which would log an internal error.
+func TestDelayedLoopHandlesAnswersBeforeGuards(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		delay func(*eventLoop, *trackedRequest)
+		want  int
+	}{
+		{"response", func(l *eventLoop, r *trackedRequest) {
+			number := r.addAttempt(l.clock.Now(), func() {})
+			l.post(attemptFinished{request: r, outcome: balancer.Outcome{Request: id, Attempt: number}})
+		}, http.StatusOK},
+		{"timer of the module", func(l *eventLoop, r *trackedRequest) {
+			l.timers.add(&timer{dueAt: r.inbound.Deadline - attemptMargin})
+		}, http.StatusServiceUnavailable},
+	} {
+		l := newTestLoop(t)
+		l.module = scriptedModule(func(_ time.Duration, event balancer.Event) []balancer.Action {
+			if _, ok := event.(balancer.TimerFired); ok {
+				return []balancer.Action{balancer.Reject{Request: id}}
+			}
+			return nil
+		})
+		request := submit(l, id, 30*time.Millisecond)
+		test.delay(l, l.requests.find(id))
+		for l.clock.Now() <= request.Deadline {
+			time.Sleep(time.Millisecond)
+		}
+		l.handleDue(context.Background())
+		if response := testutil.Receive(t, request.Response()); response.Status != test.want {
+			t.Errorf("%s: got status %d, want %d", test.name, response.Status, test.want)
+		}
+	}
+}
+
 func (q *timerQueue) len() int { return len(q.heap) }
