Count the time in the accept queue for a request's deadline

Callers with crowds got answers late, and endpoints were told more time than the client had left: requests that had waited in the accept queue for a slot counted as arrived when they were read. While connections have waited for a slot, the time at which the system received the head counts, but not before the wait began. A body that was read with its head has arrived with it.

Untouched otherwise. TestWaitForSlotCountsForTheDeadline is the test.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -37,9 +37,12 @@
 	net.Conn
 	table      *connectionTable
 	acceptedAt time.Time
-	scanner    requestScanner
-	unread     []byte          // read from the socket, but not by the caller of Read; used only by that goroutine
-	state      connectionState // guarded by table.mu
+	// backlogSince is the earliest time at which the connection may have started to wait in the accept queue for a
+	// slot; zero: it has not waited.
+	backlogSince time.Time
+	scanner      requestScanner
+	unread       []byte          // read from the socket, but not by the caller of Read; used only by that goroutine
+	state        connectionState // guarded by table.mu
 }
 
 // connectionKey is the context key under which a request's connection is stored.
--- a/internal/frontend/connectionstate.go
+++ b/internal/frontend/connectionstate.go
@@ -76,7 +76,7 @@
 	bytesSinceProgress int       // bytes that were read since the client last made progress
 	headAt             time.Time // time at which the head was complete; zero before
 	isWhole            bool      // all bytes of the request have arrived
-	bodyAt             time.Time // time at which all bytes of a long body had arrived; zero: not known
+	bodyAt             time.Time // time at which all bytes of the body had arrived; zero: not known
 	isQueued           bool      // the body waits in the socket, until it is complete
 	queuedBytes        int       // bytes in the socket when the client last made progress, if isQueued is set
 	isWaiting          bool      // the request waits for memory
@@ -143,7 +143,8 @@
 }
 
 // recordHead records that the head of the request that is being read is complete. It returns false if that is recorded
-// already, or if no request is being read. isWhole says whether the request has no body.
+// already, or if no request is being read. isWhole says whether all of
+// the body, if any, was read with it.
 func (c *connection) recordHead(now time.Time, isWhole bool) (recorded bool) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
@@ -151,11 +152,14 @@
 		return false
 	}
 	c.state.request.headAt = now
-	c.state.request.isWhole = isWhole
+	if isWhole {
+		c.state.request.isWhole = true
+		c.state.request.bodyAt = now
+	}
 	return true
 }
 
-// arrivalTimes returns the times at which the head and a long body of the current request had arrived, and whether the
+// arrivalTimes returns the times at which the head and the body of the current request had arrived, and whether the
 // request has waited for memory since. The times are zero if they are not known. That of the head is not if it was read
 // together with the previous request.
 func (c *connection) arrivalTimes() (headAt, bodyAt time.Time, hasWaited bool) {
--- a/internal/frontend/headreader.go
+++ b/internal/frontend/headreader.go
@@ -96,11 +96,12 @@
 // completeHead handles the end of a head. It waits for a long body and reserves the memory for it.
 func (c *connection) completeHead() error {
 	head := parseBodyFields(c.unread)
-	if !c.recordHead(time.Now(), head.length == 0) || head.length <= unreservedBodyBytes {
+	remaining := head.length - int64(c.scanner.bytesBehindHead())
+	if !c.recordHead(c.receivedAt(), remaining <= 0) || head.length <= unreservedBodyBytes {
 		return nil
 	}
 	memory := c.requestMemory()
-	if remaining := head.length - int64(c.scanner.bytesBehindHead()); remaining > 0 && !head.expectsContinue {
+	if remaining > 0 && !head.expectsContinue {
 		if err := c.waitForBody(memory, head.length, remaining); err != nil {
 			return err
 		}
@@ -111,6 +112,21 @@
 	return nil
 }
 
+// receivedAt returns the time at which the head that has just been read was received. The first one of a connection
+// that has waited in the accept queue may have been received long before.
+func (c *connection) receivedAt() time.Time {
+	now := time.Now()
+	if c.backlogSince.IsZero() {
+		return now
+	}
+	receivedAt := now.Add(-socket.SinceReceived(c.Conn))
+	if receivedAt.Before(c.backlogSince) {
+		receivedAt = c.backlogSince
+	}
+	c.backlogSince = time.Time{}
+	return receivedAt
+}
+
 // The parameters for parsing a Content-Length.
 const (
 	contentLengthBase = 10
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -30,6 +30,10 @@
 
 	closed    chan struct{} // closed by Close
 	closeOnce sync.Once
+
+	// backlogSince is the time since which connections have waited in the accept queue for a slot; zero: none does. It
+	// is used only by the goroutine that accepts connections.
+	backlogSince time.Time
 }
 
 func newConnectionListener(l net.Listener, table *connectionTable, log *slog.Logger) *connectionListener {
@@ -42,11 +46,16 @@
 	if err := l.waitForSlot(); err != nil {
 		return nil, err
 	}
+	if !l.backlogSince.IsZero() && !socket.HasPending(l.Listener) {
+		l.backlogSince = time.Time{}
+	}
 	accepted, err := l.acceptWithRetry()
 	if err != nil {
 		return nil, err
 	}
-	return l.table.add(accepted), nil
+	c := l.table.add(accepted)
+	c.backlogSince = l.backlogSince
+	return c, nil
 }
 
 // waitForSlot blocks until the limit allows one more connection. While another client waits for a slot, those
@@ -57,6 +66,9 @@
 		if ok {
 			return nil
 		}
+		if l.backlogSince.IsZero() {
+			l.backlogSince = time.Now()
+		}
 		if socket.HasPending(l.Listener) && l.table.freeSlotForPending() {
 			continue
 		}
--- a/internal/frontend/memory_test.go
+++ b/internal/frontend/memory_test.go
@@ -302,6 +302,26 @@
 	expectBalance(t, budget)
 }
 
+// The timeout of a request counts from its last byte, also if its connection has waited in the accept queue since.
+func TestWaitForSlotCountsForTheDeadline(t *testing.T) {
+	t.Parallel()
+	const held = 200 * time.Millisecond
+	config := testutil.Config(t, "127.0.0.1:1")
+	config.MaxDescriptors = 2 // 1 for clients
+	submitted := make(chan *Request, 2)
+	server, _ := startServer(t, config, func(r *Request) { submitted <- r }, reclaimImmediately)
+	testutil.Dial(t, server.Addr(), testutil.RawPost(id, ""))
+	holder := testutil.Receive(t, submitted)
+	text := testutil.RawPost(otherID, "Content-Length: 4\r\n") + "body"
+	testutil.Dial(t, server.Addr(), text) // waits in the accept queue
+	time.Sleep(held)
+	releasedAt := server.handler.clock.Now()
+	releaseAndRespond(holder)
+	if waited := releasedAt - testutil.Receive(t, submitted).ArrivedAt; waited < held/2 {
+		t.Errorf("got an arrival %v before the end of the wait of %v, want the time of the last byte", waited, held)
+	}
+}
+
 // The timeout of a request counts from its last byte, also if the request has waited for memory since.
 func TestWaitForMemoryCountsForTheDeadline(t *testing.T) {
 	t.Parallel()
