Reject a half body whose head came together with the previous request

A client that sent a request, and the head and a part of the body of another one in the same write, never got an answer to the second: after the head had been parsed, each read took the bytes at hand for a head, found no length in them, and counted the request as whole. A whole request is neither rejected by its timer nor evicted, so that the connection kept its slot for good.

Change: a head that net/http has parsed is not examined again, which also saves that work for each read of a body, and the handler corrects what a part of a head said about the body.

TestIncompleteRequestBehindAnotherIsAnswered failed before: no answer in 20 s.

--- a/internal/frontend/connectionstate.go
+++ b/internal/frontend/connectionstate.go
@@ -143,8 +143,7 @@
 }
 
 // recordHead records that the head of the request that is being read is complete. It returns false if that is recorded
-// already, or if no request is being read. isWhole says whether all of
-// the body, if any, was read with it.
+// already, or if no request is being read. isWhole says whether all of the body, if any, was read with it.
 func (c *connection) recordHead(now time.Time, isWhole bool) (recorded bool) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
@@ -159,6 +158,17 @@
 	return true
 }
 
+// recordParsedHead corrects what the head said about the body, once net/http has parsed it. hasMore says whether bytes
+// of the body were not read.
+func (c *connection) recordParsedHead(hasMore bool) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if hasMore && c.state.request.bodyMemory == 0 {
+		c.state.request.isWhole = false
+		c.state.request.bodyAt = time.Time{}
+	}
+}
+
 // arrivalTimes returns the times at which the head and the body of the current request had arrived, and whether the
 // request has waited for memory since. The times are zero if they are not known. That of the head is not if it was read
 // together with the previous request.
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -74,6 +74,7 @@
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connectionOf(r)
 	conn.scanner.startBody(r.ContentLength)
+	conn.recordParsedHead(conn.scanner.bodyBytesRemaining() > 0)
 	_ = conn.SetWriteDeadline(time.Time{}) // that of the previous response; fails only if the connection is closed
 	if r.URL.Path == protocol.HealthPath {
 		h.serveHealth(w)
--- a/internal/frontend/headreader.go
+++ b/internal/frontend/headreader.go
@@ -42,6 +42,9 @@
 func (c *connection) readHead() error {
 	for c.isReading() {
 		head := c.scanner.head()
+		if head.isParsed {
+			return nil
+		}
 		if status, reason := validateHeadSize(head); status != 0 {
 			return c.rejectHead(status, reason)
 		}
--- a/internal/frontend/incomplete_test.go
+++ b/internal/frontend/incomplete_test.go
@@ -50,6 +50,19 @@
 	}
 }
 
+// A client that stops within a body gets an error response, also if it has sent the head together with the previous
+// request.
+func TestIncompleteRequestBehindAnotherIsAnswered(t *testing.T) {
+	t.Parallel()
+	server, _ := startServer(t, testutil.Config(t, "127.0.0.1:1"), echo, nil)
+	client := testutil.Dial(t, server.Addr(), testutil.RawGet(otherID)+incompleteRequests["half a body"])
+	in := bufio.NewReader(client)
+	testutil.ReadResponse(t, in)
+	if response := testutil.ReadResponse(t, in); response.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("got status %d, want 408", response.StatusCode)
+	}
+}
+
 // A connection must not be closed as idle while a request is being read, even if the idle timeout would expire before
 // the request is complete.
 func TestIdleTimeoutDuringRequest(t *testing.T) {
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -145,6 +145,7 @@
 // headState describes the head of the request to which the next byte belongs.
 type headState struct {
 	isComplete bool // all of the head was added, or the scanner has lost its place
+	isParsed   bool // net/http has parsed the head, or the scanner has lost its place
 	isRequest  bool // the first bytes may be those of a request
 	length     int  // number of bytes that were added
 	lines      int  // number of complete lines that were added, the request line included
@@ -156,6 +157,7 @@
 	defer s.mu.Unlock()
 	return headState{
 		isComplete: s.state != scanHead,
+		isParsed:   s.state == scanBody || s.state == scanImpossible,
 		isRequest:  mayStartRequest(s.start[:s.startLength]),
 		length:     s.headLength,
 		lines:      s.headLines,
