--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -171,8 +171,7 @@
 }
 
 // nextStepAt returns the earliest time of the next step. Steps are at least a tick apart, except for those that precede
-// a deadline guard (handleDueTimers). A step handles all events
-// queued since the previous one.
+// a deadline guard (handleDueTimers). A step handles all events queued since the previous one.
 func (l *eventLoop) nextStepAt() time.Duration { return l.lastStepAt + l.tick }
 
 // nextWakeAt returns the time until which the loop may sleep if no message arrives.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -30,7 +30,7 @@
 
 // encodedRequests holds unused buffers for encoded requests. A long request would otherwise leave a copy of its body to
 // the garbage collector for each attempt.
-var encodedRequests = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+var encodedRequests sync.Pool
 
 // encodeRequest returns a buffer of encodedRequests with the bytes of a request as exchange writes them.
 func encodeRequest(request *http.Request) (*bytes.Buffer, error) {
