Bound the bytes that a connection keeps, empty lines before a request included

Callers saw late answers or none, and agents passed their memory limit, while one client sent empty lines at full speed: the scanner skipped them without counting, and what it did not count was neither limited nor paid to the budget, but appended to the unread bytes of the connection all the same (headreader.go, readHeadBytes; requestscanner.go, addHead).

Change: empty lines count for the length of a head, and so for its limit and its memory. More than the four bytes that net/http skips start no request and get a 400. The buffers have bounds on themselves, whatever the scanner makes of their bytes: unread bytes, and bytes behind a head.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -41,7 +41,7 @@
 	// slot; zero: it has not waited.
 	backlogSince time.Time
 	scanner      requestScanner
-	unread       []byte          // read from the socket, but not by the caller of Read; used only by that goroutine
+	unread       []byte          // read from the socket, but not by the caller of Read; maxUnread bytes at most
 	state        connectionState // guarded by table.mu
 }
 
--- a/internal/frontend/headreader.go
+++ b/internal/frontend/headreader.go
@@ -20,6 +20,8 @@
 	headLinesWithoutField = 2
 	// maxHeadLength is the maximum number of bytes of a head. net/http applies the same limit.
 	maxHeadLength = maxHeaderBytes + 4<<10
+	// maxUnread is the maximum number of bytes that a connection keeps for net/http: the last read may complete a head.
+	maxUnread = maxHeadLength + readBufferSize
 	// readBufferSize is the number of bytes that are read at a time while a head is incomplete or bytes are discarded.
 	readBufferSize = 4 << 10
 )
@@ -45,7 +47,7 @@
 		if head.isParsed {
 			return nil
 		}
-		if status, reason := validateHeadSize(head); status != 0 {
+		if status, reason := validateHeadSize(head, len(c.unread)); status != 0 {
 			return c.rejectHead(status, reason)
 		}
 		if !c.reserveHead(head.length) {
@@ -61,11 +63,14 @@
 	return nil
 }
 
-// validateHeadSize returns the status with which the request is rejected because of its head, and the reason, or 0.
-func validateHeadSize(head headState) (status int, reason closeReason) {
+// validateHeadSize returns the status with which the request is rejected because of its head, and the reason, or 0. kept
+// is the number of bytes that the connection keeps, which are bounded whatever the scanner makes of them.
+func validateHeadSize(head headState, kept int) (status int, reason closeReason) {
 	switch {
 	case !head.isComplete && !head.isRequest:
 		return http.StatusBadRequest, closeNoRequest
+	case !head.isComplete && kept > maxHeadLength:
+		return http.StatusRequestHeaderFieldsTooLarge, closeHeadTooLong
 	case head.length > maxHeadLength || head.lines > maxHeadFields+headLinesWithoutField:
 		return http.StatusRequestHeaderFieldsTooLarge, closeHeadTooLong
 	}
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -12,11 +12,15 @@
 	[]byte("CONNECT "), []byte("OPTIONS "), []byte("TRACE "),
 }
 
+// maxUnscannedBytes bounds the bytes behind a head that wait for the length of its body. A read that completes a head
+// returns fewer, and net/http parses the head before it reads on.
+const maxUnscannedBytes = 2 * readBufferSize
+
 // maxRequestStart is the length of the longest of requestStarts.
 const maxRequestStart = len("CONNECT ")
 
 // emptyLines are the bytes of empty lines. Some clients send one behind the body of a POST request, and net/http skips
-// up to maxEmptyLines bytes there.
+// up to maxEmptyLines bytes there. More of them start no request.
 const (
 	emptyLines    = "\r\n"
 	maxEmptyLines = 4
@@ -45,9 +49,12 @@
 	// lineLength and lineStart are the length and the first byte of the current line of the head, without its LF.
 	lineLength int
 	lineStart  byte
-	// headLength and headLines are the number of bytes and of complete lines of the current head that were added.
+	// headLength and headLines are the number of bytes, those of empty lines before it included, and of complete lines
+	// of the current head that were added.
 	headLength, headLines int
-	// unscanned holds the bytes behind a head whose body has an unknown length.
+	// emptyLength is the number of bytes of empty lines before the current head.
+	emptyLength int
+	// unscanned holds the bytes behind a head whose body has an unknown length, maxUnscannedBytes at most.
 	unscanned []byte
 	// bodyRemaining is the number of bytes of the body that were not added; 0 unless state is scanBody.
 	bodyRemaining int64
@@ -79,7 +86,7 @@
 		case scanBody:
 			p = s.addBody(p)
 		case scanUnknown:
-			s.unscanned = append(s.unscanned, p...)
+			s.addUnscanned(p)
 			return
 		case scanImpossible:
 			return
@@ -87,12 +94,32 @@
 	}
 }
 
-// addHead adds bytes up to the end of the head, which is an empty line, and returns the bytes behind it. It skips empty
-// lines before the head.
-func (s *requestScanner) addHead(p []byte) []byte {
-	if s.startLength == 0 {
-		p = bytes.TrimLeft(p, emptyLines)
+// addUnscanned adds bytes behind a head whose body has an unknown length.
+func (s *requestScanner) addUnscanned(p []byte) {
+	if len(s.unscanned)+len(p) > maxUnscannedBytes {
+		s.losePlace()
+		return
 	}
+	s.unscanned = append(s.unscanned, p...)
+}
+
+// losePlace records that the scanner and net/http disagree about where a request ends.
+func (s *requestScanner) losePlace() { s.state, s.bodyRemaining, s.unscanned = scanImpossible, 0, nil }
+
+// skipEmptyLines counts the bytes of empty lines before a head, and returns the bytes behind them.
+func (s *requestScanner) skipEmptyLines(p []byte) []byte {
+	if s.startLength > 0 {
+		return p
+	}
+	rest := bytes.TrimLeft(p, emptyLines)
+	s.emptyLength += len(p) - len(rest)
+	s.headLength += len(p) - len(rest)
+	return rest
+}
+
+// addHead adds bytes up to the end of the head, which is an empty line, and returns the bytes behind it.
+func (s *requestScanner) addHead(p []byte) []byte {
+	p = s.skipEmptyLines(p)
 	s.startLength += copy(s.start[s.startLength:], p)
 	for len(p) > 0 {
 		line, rest, isComplete := bytes.Cut(p, []byte{'\n'})
@@ -132,11 +159,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state != scanUnknown || length < 0 {
-		s.state, s.bodyRemaining = scanImpossible, 0
+		s.losePlace()
 		return
 	}
 	s.state, s.bodyRemaining, s.startLength = scanBody, length, 0
-	s.headLength, s.headLines = 0, 0
+	s.headLength, s.headLines, s.emptyLength = 0, 0, 0
 	behindHead := s.addBody(s.unscanned)
 	s.unscanned = s.unscanned[:0]
 	s.addLocked(behindHead) // the bytes move to the front of unscanned, if they are needed there
@@ -147,7 +174,7 @@
 	isComplete bool // all of the head was added, or the scanner has lost its place
 	isParsed   bool // net/http has parsed the head, or the scanner has lost its place
 	isRequest  bool // the first bytes may be those of a request
-	length     int  // number of bytes that were added
+	length     int  // number of bytes that were added, those of empty lines before the head included
 	lines      int  // number of complete lines that were added, the request line included
 }
 
@@ -158,7 +185,7 @@
 	return headState{
 		isComplete: s.state != scanHead,
 		isParsed:   s.state == scanBody || s.state == scanImpossible,
-		isRequest:  mayStartRequest(s.start[:s.startLength]),
+		isRequest:  s.emptyLength <= maxEmptyLines && mayStartRequest(s.start[:s.startLength]),
 		length:     s.headLength,
 		lines:      s.headLines,
 	}
