--- a/cmd/ashshunt/wellbehaved_client_test.go
+++ b/cmd/ashshunt/wellbehaved_client_test.go
@@ -62,6 +62,19 @@
 	return total
 }
 
+// lost returns the number of requests without an answer.
+func (o *clientOutcomes) lost() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	lost := 0
+	for outcome, count := range o.counts {
+		if outcome.isLost() {
+			lost += count
+		}
+	}
+	return lost
+}
+
 // String implements fmt.Stringer.
 func (o *clientOutcomes) String() string {
 	o.mu.Lock()
