--- a/cmd/ashshunt/pieces_test.go
+++ b/cmd/ashshunt/pieces_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,11 +19,7 @@
 )
 
 const (
-	// pieceClients is the number of clients that write their requests in pieces: a crowd for half of pieceSockets.
-	pieceClients = 100
-	pieceSockets = 64
-	pieceMemory  = 192
-	pieceSeed    = 1
+	pieceSeed = 1
 	// pieceTimeout is the timeout of a request that is written in pieces.
 	pieceTimeout = 1500 * time.Millisecond
 	// resetWait is how long after an answer a client looks for a reset, unless the agent closes the connection before.
@@ -38,11 +35,7 @@
 
 // isLost reports whether an outcome is no answer, or one that the client may not have got.
 func (o clientOutcome) isLost() bool {
-	switch o {
-	case outcomeResetWithin, outcomeResetBehind, outcomeEnded, outcomeLost:
-		return true
-	}
-	return false
+	return o == outcomeResetWithin || o == outcomeResetBehind || o == outcomeEnded || o == outcomeLost
 }
 
 // pieceClient sends one request at a time, each in two pieces with a pause between them. It does not read before it has
@@ -162,36 +155,53 @@
 }
 
 // A request that the agent has read from must get an answer, and its connection must not be reset behind it, while a
-// crowd of clients writes in pieces and the agent is stopped and continued in turns.
+// crowd of clients writes in pieces. No client is hostile, so that nine in ten requests are served.
 func TestRequestsInPiecesAreAnswered(t *testing.T) {
-	t.Setenv(hostileMemoryEnvVar, fmt.Sprint(pieceMemory))
-	t.Setenv(hostileSocketsEnvVar, fmt.Sprint(pieceSockets))
 	binary := buildAgent(t)
+	fewSlots := crowd{clients: 100, sockets: 64, memoryMB: 192}
+	littleMemory := crowd{clients: 300, sockets: maxSockets, memoryMB: minMemoryMB}
 	tests := []struct {
+		crowd     crowd
 		bodySize  int
 		maxPause  time.Duration
 		isStalled bool // the agent is stopped and continued in turns
 	}{
-		{bodySize: 20000, maxPause: 200 * time.Millisecond},
-		{bodySize: 3000, maxPause: 100 * time.Millisecond},
-		{bodySize: 500, maxPause: 100 * time.Millisecond},
-		{bodySize: 20000, maxPause: 200 * time.Millisecond, isStalled: true},
-		{bodySize: 3000, maxPause: 100 * time.Millisecond, isStalled: true},
-		{bodySize: 500, maxPause: 20 * time.Millisecond, isStalled: true},
+		{crowd: fewSlots, bodySize: 20000, maxPause: 200 * time.Millisecond},
+		{crowd: fewSlots, bodySize: 3000, maxPause: 100 * time.Millisecond},
+		{crowd: fewSlots, bodySize: 500, maxPause: 100 * time.Millisecond},
+		{crowd: fewSlots, bodySize: 20000, maxPause: 200 * time.Millisecond, isStalled: true},
+		{crowd: fewSlots, bodySize: 3000, maxPause: 100 * time.Millisecond, isStalled: true},
+		{crowd: fewSlots, bodySize: 500, maxPause: 20 * time.Millisecond, isStalled: true},
+		{crowd: littleMemory, bodySize: 20000, maxPause: 200 * time.Millisecond},
+		{crowd: littleMemory, bodySize: 3000, maxPause: 100 * time.Millisecond},
+		{crowd: littleMemory, bodySize: 500, maxPause: 100 * time.Millisecond},
 	}
 	for _, tt := range tests {
-		name := fmt.Sprintf("%d bytes, pauses of up to %v, stalled agent %t", tt.bodySize, tt.maxPause, tt.isStalled)
+		name := fmt.Sprintf("%v, %d bytes, pauses of up to %v, stalled %t",
+			tt.crowd, tt.bodySize, tt.maxPause, tt.isStalled)
 		t.Run(name, func(t *testing.T) {
+			t.Setenv(hostileMemoryEnvVar, strconv.Itoa(tt.crowd.memoryMB))
+			t.Setenv(hostileSocketsEnvVar, strconv.Itoa(tt.crowd.sockets))
 			run := newHostileRun(t, binary, len(testutil.RequestID))
 			process := run.start()
 			if tt.isStalled {
 				defer stallInTurns(t, process)()
 			}
-			run.verifyPieces(run.runPieceClients(tt.bodySize, tt.maxPause))
+			outcomes := run.runPieceClients(tt.crowd.clients, tt.bodySize, tt.maxPause)
+			run.verifyPeak(process)
+			run.verifyPieces(outcomes)
 		})
 	}
 }
 
+// crowd is a number of clients, and the limits of the agent that they share.
+type crowd struct{ clients, sockets, memoryMB int }
+
+// String implements fmt.Stringer.
+func (c crowd) String() string {
+	return fmt.Sprintf("%d clients, %d descriptors, %d MB", c.clients, c.sockets, c.memoryMB)
+}
+
 // verifyPieces checks the outcomes of clients that write in pieces.
 func (r *hostileRun) verifyPieces(outcomes *clientOutcomes) {
 	r.t.Helper()
@@ -205,13 +215,14 @@
 }
 
 // runPieceClients runs clients that write in pieces for the duration of the run, and returns the outcomes.
-func (r *hostileRun) runPieceClients(bodySize int, maxPause time.Duration) *clientOutcomes {
+func (r *hostileRun) runPieceClients(count, bodySize int, maxPause time.Duration) *clientOutcomes {
 	var clients sync.WaitGroup
 	outcomes := &clientOutcomes{counts: map[clientOutcome]int{}}
 	rng := newLockedRand(pieceSeed)
-	for range pieceClients {
+	for range count {
 		clients.Go(func() {
-			(&pieceClient{run: r, rng: rng, outcomes: outcomes, bodySize: bodySize, maxPause: maxPause}).sendUntilStopped()
+			client := &pieceClient{run: r, rng: rng, outcomes: outcomes, bodySize: bodySize, maxPause: maxPause}
+			client.sendUntilStopped()
 		})
 	}
 	time.Sleep(time.Duration(intFromEnv(r.t, hostileSecondsEnvVar, defaultHostileSeconds)) * time.Second)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -119,6 +119,7 @@
 // memory.
 func (a *Agent) logStopped() {
 	a.budget.LogUsage()
+	a.frontend.LogTotals()
 	totals := a.loop.upstream.Totals()
 	a.log.Info(telemetry.MsgStopped,
 		"dials", totals.Dials,
--- a/internal/frontend/bodywait.go
+++ b/internal/frontend/bodywait.go
@@ -12,11 +12,12 @@
 // there is memory for it. It is longer than any pause of a client that writes without a break.
 const bodyStallTimeout = 100 * time.Millisecond
 
-// waitForBody waits until a long body is complete, of which the socket holds the last remaining bytes, so that a client
-// that stops within it holds no memory of the agent. If the client makes no progress and there is memory left, it
-// returns before: the system may hold fewer bytes than the body has, or the client writes slowly.
+// waitForBody waits until a body is complete, of which the socket holds the last remaining bytes, so that a client that
+// stops within it holds no memory of the agent. If the client makes no progress and there is memory left, it returns
+// before: the system may hold fewer bytes than the body has, the client writes slowly, or the head is invalid.
 func (c *connection) waitForBody(memory *membudget.Reservation, length, remaining int64) error {
-	if socket.EnsureReceiveBuffer(c.Conn, int(remaining)) != nil {
+	isLong := length > unreservedBodyBytes
+	if isLong && socket.EnsureReceiveBuffer(c.Conn, int(remaining)) != nil {
 		return nil
 	}
 	defer c.endBodyWait()
@@ -33,21 +34,35 @@
 		case progress > 0:
 			c.recordQueued(state.Bytes, int(progress))
 			queued = int64(state.Bytes)
-		case memory.TryGrow(membudget.Bodies, length):
+		case isLong && memory.TryGrow(membudget.Bodies, length):
 			c.recordBodyMemory(length)
 			return nil
+		case !isLong && !c.table.budget.IsNearLimit(membudget.Handlers):
+			return nil
 		}
-		_ = c.Conn.SetReadDeadline(time.Now().Add(bodyStallTimeout)) // fails only if the connection is closed
+		c.startBodyWait(time.Now().Add(bodyStallTimeout))
 		socket.WaitForQueued(c.Conn, state.Bytes)
 	}
 	return net.ErrClosed
 }
 
+// startBodyWait records that the agent waits for bytes of the client, and ends the wait at a deadline, unless the
+// request was rejected in the meantime.
+func (c *connection) startBodyWait(deadline time.Time) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if c.state.phase == phaseReading {
+		c.state.request.isAwaited = true
+		_ = c.Conn.SetReadDeadline(deadline) // fails only if the connection is closed
+	}
+}
+
 // endBodyWait clears the read deadline that waitForBody has set, unless the request was rejected in the meantime.
 func (c *connection) endBodyWait() {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	c.state.request.isQueued = false
+	c.state.request.isAwaited = false
 	if c.state.phase == phaseReading {
 		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 	}
@@ -72,5 +87,4 @@
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	c.state.request.bodyAt = now
-	c.state.request.isWhole = true
 }
--- a/internal/frontend/boundedbuffers_test.go
+++ b/internal/frontend/boundedbuffers_test.go
@@ -35,8 +35,8 @@
 	return n, err
 }
 
-// readAllRequests reads the requests of a client that sends a stream of bytes as net/http does, and verifies the buffers
-// of the connection after each read.
+// readAllRequests reads the requests of a client that sends a stream of bytes, as net/http does, and verifies the
+// buffers of the connection after each read.
 func readAllRequests(t *testing.T, stream []byte) {
 	t.Helper()
 	listener := testutil.Listen(t)
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -15,16 +15,8 @@
 	// minReadTimeout is the minimum time that the first request of a connection gets after its first byte, even if that
 	// byte arrives late.
 	minReadTimeout = 300 * time.Millisecond
-	// lingerTimeout bounds the time for which a connection with unread bytes is still read before it is closed.
-	lingerTimeout = 500 * time.Millisecond
-	// lingerReadInterval is the time between two reads of a connection that lingers.
-	lingerReadInterval = 10 * time.Millisecond
 	// incompleteWriteTimeout bounds the write of the response to an incomplete request.
 	incompleteWriteTimeout = 500 * time.Millisecond
-	// evictionWriteTimeout bounds the write of the response to an evicted request. The accept loop waits for it.
-	evictionWriteTimeout = 5 * time.Millisecond
-	// maxLingerBytes bounds the number of bytes that are read and discarded before a connection is closed.
-	maxLingerBytes = 256 << 10
 )
 
 // continueStatusPrefix starts an interim response, which net/http writes while it is still reading a request.
@@ -87,6 +79,7 @@
 
 // readSocket reads from the socket.
 func (c *connection) readSocket(p []byte) (int, error) {
+	c.setAwaited(true)
 	n, err := c.Conn.Read(p)
 	if rejected := c.recordRead(n); rejected != nil {
 		return 0, rejected
@@ -143,7 +136,11 @@
 	if bytes.HasPrefix(p, continueStatusPrefix) {
 		return c.maySendContinue()
 	}
-	return c.startResponse()
+	if !c.startResponse() {
+		return false
+	}
+	c.recordResponse()
+	return true
 }
 
 // SetReadDeadline implements net.Conn. It does nothing while a request is being read, since the request's own timer
@@ -159,15 +156,14 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// writeRejection responds to a request that was rejected before it was complete, and closes the sending side. The read
-// deadline ends a read in which net/http waits for the rest of the request. Errors are ignored: they mean that the
-// client has disconnected.
+// writeRejection responds to a request that was rejected before it was complete, and closes the sending side. It then
+// ends a read in which net/http waits for the rest of the request. Errors are ignored: they mean that the client has
+// disconnected.
 func (c *connection) writeRejection(status int, reason closeReason) {
-	c.table.logClose(c, reason)
+	c.table.logRejection(c, status, reason)
 	_ = c.SetWriteDeadline(time.Now().Add(incompleteWriteTimeout))
 	_, _ = c.Conn.Write(rejectionText(status))
-	socket.CloseWrite(c.Conn)
-	_ = c.Conn.SetReadDeadline(time.Now())
+	c.endRejection()
 }
 
 // rejectionText returns a response without a body, behind which the connection is closed.
@@ -176,62 +172,36 @@
 		status, http.StatusText(status))
 }
 
-// Close closes the connection and releases its slot. Closing a socket with unread bytes resets the connection, and a
-// response that is still in transit is lost. If there are such bytes, or if they may arrive because an incomplete
-// request was rejected, the connection is closed in the background, after the sending side has been closed and incoming
-// bytes have been discarded. If the client has reset the connection it is closed at once.
+// Close closes the connection and releases its slot. Closing a socket with unread bytes resets the connection, and so
+// does a byte that arrives later; a response that is still in transit is then lost. If there are such bytes, or if they
+// may arrive because a request is incomplete, the connection lingers.
 func (c *connection) Close() error {
 	previous := c.startClose()
 	c.releaseMemory()
-	if previous == phaseClosing {
+	c.logUnanswered(previous)
+	switch {
+	case previous == phaseClosing:
 		return c.Conn.Close()
-	}
-	mayHaveUnread := previous == phaseRejected || socket.HasUnread(c.Conn)
-	if mayHaveUnread && !socket.IsBroken(c.Conn) {
-		go c.lingerAndClose() // returns after lingerTimeout at the latest
+	case c.mayGetMore(previous) && !socket.IsBroken(c.Conn):
+		go c.lingerAndClose() // returns after maxLingerTime at the latest
 		return nil
 	}
 	return c.finishClose()
 }
 
-// lingerAndClose closes the sending side, discards incoming bytes, and closes the connection. Errors are ignored, since
-// the connection is closed regardless.
-func (c *connection) lingerAndClose() {
-	socket.CloseWrite(c.Conn)
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	c.table.startLinger(c) // from now on the table may close the connection
-	c.discardIncoming()
-	if c.table.endLinger(c) {
-		_ = c.finishClose()
-	}
-}
-
-// discardIncoming reads and discards bytes until the end of the connection, the read deadline, or maxLingerBytes. It
-// reads at intervals: a client that sends at full speed would otherwise use up the CPU.
-func (c *connection) discardIncoming() {
-	for discarded := 0; discarded < maxLingerBytes; {
-		if err := socket.WaitForReadable(c.Conn); err != nil {
-			return
-		}
-		buffer := getReadBuffer()
-		n, err := c.Conn.Read(buffer[:])
-		readBuffers.Put(buffer)
-		if err != nil {
-			return
-		}
-		discarded += n
-		time.Sleep(lingerReadInterval)
-	}
+// mayGetMore reports whether there are unread bytes of the client, or may be some later, since its request is
+// incomplete.
+func (c *connection) mayGetMore(previous phase) bool {
+	return previous == phaseRejected || socket.HasUnread(c.Conn)
 }
 
-// evict closes a connection in phaseClosing whose client has stalled within a request. A client that has sent a part of
-// a request is told to retry; there are no unread bytes, so that the response is not lost. Errors are ignored, since
-// the connection is closed regardless.
+// evict responds to the request of a client that has stalled, after takeStalled, and releases its memory. Whoever reads
+// the connection closes it then. The write does not block, since the accept loop waits for it.
 func (c *connection) evict(reason closeReason) {
-	c.table.logClose(c, reason)
-	_ = c.SetWriteDeadline(time.Now().Add(evictionWriteTimeout))
-	_, _ = c.Conn.Write(rejectionText(http.StatusServiceUnavailable))
-	_ = c.finishClose()
+	c.releaseMemory()
+	c.table.logRejection(c, http.StatusServiceUnavailable, reason)
+	socket.WriteNow(c.Conn, rejectionText(http.StatusServiceUnavailable))
+	c.endRejection()
 }
 
 // closeIdle closes a connection in phaseClosing that was idle. An error is ignored, since the descriptor is released
@@ -244,6 +214,6 @@
 // finishClose closes a connection in phaseClosing. It releases the slot after the close, since the connection holds a
 // descriptor until then.
 func (c *connection) finishClose() error {
-	defer c.table.release()
+	defer c.table.release(c)
 	return c.Conn.Close()
 }
--- a/internal/frontend/connectionstate.go
+++ b/internal/frontend/connectionstate.go
@@ -14,7 +14,7 @@
 //	idle    -> reading   the first byte of a request arrives
 //	idle    -> serving   net/http responds to a malformed request that it read together with the previous one
 //	reading -> serving   the request is complete, or gets an error response
-//	reading -> rejected  the request timed out, or a shutdown rejects it
+//	reading -> rejected  the request timed out, its client was evicted, or a shutdown rejects it
 //	serving -> idle      the response is written
 //	serving -> reading   the response is written and the next request has already started
 //	any     -> closing   Close is called, or the table closes an idle connection to reclaim its slot or to shut down
@@ -29,13 +29,14 @@
 	// list.
 	phaseIdle phase = iota
 	// phaseReading: a request has started and is incomplete. The connection is in the table's list of incomplete
-	// requests. The request's timer replaces the read deadlines that net/http sets. A connection whose client has
-	// stalled may be closed at any time, to free its slot or memory for another client.
+	// requests. The request's timer replaces the read deadlines that net/http sets. A client that has stalled may be
+	// evicted at any time, to free its slot or memory for another client.
 	phaseReading
 	// phaseServing: a request is complete, or is getting an error response. A connection that came directly from
 	// phaseIdle is still on the idle list.
 	phaseServing
-	// phaseRejected: an incomplete request was rejected. Reads and writes fail, and Close discards incoming bytes.
+	// phaseRejected: an incomplete request was rejected. Reads and writes fail, and Close discards incoming bytes. Only
+	// the caller that set this phase writes a response; Close waits for that.
 	phaseRejected
 	// phaseClosing: the connection is closed, or the caller that set this phase is about to close it. Reads and writes
 	// fail.
@@ -49,6 +50,12 @@
 	nextRequestStarted bool            // bytes of the next request were read while a request was being served
 	request            requestProgress // progress of the request that is being read
 
+	hasResponse      bool          // a response to the current request has started
+	requestID        string        // ID of the current request; empty: not known
+	requestErr       error         // why the current request gets no response; nil: not known
+	rejectionWritten chan struct{} // closed when the response of a rejected request is written; nil before
+	isEnding         bool          // counts in connectionTable.ending
+
 	handlerMemory *membudget.Reservation // memory of net/http for the connection; nil before it is handed over
 	requestMemory *membudget.Reservation // memory of the request that is being read; nil if its handler holds it
 }
@@ -63,72 +70,6 @@
 	return s.phase == phaseReading && s.request.number == number
 }
 
-// requestProgress records how much of the current request has been read.
-type requestProgress struct {
-	// number counts the requests that have started on the connection. A timer or a shutdown rejects a request by its
-	// number, so that it can't reject a later one.
-	number     int
-	startedAt  time.Time   // time of the request's first byte
-	readCount  int         // reads that returned bytes of the request
-	lastReadAt time.Time   // time of the last such read
-	timer      *time.Timer // rejects the request; nil before the first request
-
-	bytesSinceProgress int       // bytes that were read since the client last made progress
-	headAt             time.Time // time at which the head was complete; zero before
-	isWhole            bool      // all bytes of the request have arrived
-	bodyAt             time.Time // time at which all bytes of the body had arrived; zero: not known
-	isQueued           bool      // the body waits in the socket, until it is complete
-	queuedBytes        int       // bytes in the socket when the client last made progress, if isQueued is set
-	isWaiting          bool      // the request waits for memory
-	hasWaited          bool      // the request has waited for memory
-	bodyMemory         int64     // reserved bytes for the body
-}
-
-// minProgressBytes is the number of bytes that count as progress of a client. Fewer bytes do not keep a slow client
-// from being evicted.
-const minProgressBytes = 1 << 10
-
-// takeQueued records that n bytes have been read, and returns how many of them were not noticed in the socket before.
-func (p *requestProgress) takeQueued(n int) (unnoticed int) {
-	noticed := min(n, p.queuedBytes)
-	p.queuedBytes -= noticed
-	return n - noticed
-}
-
-// isStallable reports whether a lack of progress is due to the client.
-func (p *requestProgress) isStallable() bool { return !p.isWhole && !p.isWaiting }
-
-// hasNewBytes reports whether bytes of the request have arrived that the agent has not noticed.
-func (c *connection) hasNewBytes() bool {
-	if c.state.request.isQueued {
-		return socket.Queued(c.Conn).Bytes > c.state.request.queuedBytes
-	}
-	return socket.HasUnread(c.Conn)
-}
-
-// remaining returns the time until the request must be rejected; zero or less if it must be rejected now. It is called
-// when the request's timer has fired. A request with at most one read has stalled by then. For a request with several
-// reads, Timeouts.ReadStall counts from the last read, and Timeouts.ReadTotal bounds the request as a whole.
-func (p *requestProgress) remaining(timeouts *Timeouts) time.Duration {
-	if p.hasAtMostOneRead() {
-		return 0
-	}
-	deadline := p.lastReadAt.Add(timeouts.ReadStall)
-	if totalDeadline := p.startedAt.Add(timeouts.ReadTotal); totalDeadline.Before(deadline) {
-		deadline = totalDeadline
-	}
-	return time.Until(deadline)
-}
-
-// hasAtMostOneRead reports whether no byte of the request has arrived after the first read.
-func (p *requestProgress) hasAtMostOneRead() bool { return p.readCount <= 1 }
-
-func (p *requestProgress) stopTimer() {
-	if p.timer != nil {
-		p.timer.Stop() // a timer that has already fired finds that the phase has changed
-	}
-}
-
 // The methods below examine the state of a connection or handle its events. Each locks the table's mutex, except for
 // startCloseIfShuttingDown, whose caller holds it.
 
@@ -143,28 +84,28 @@
 }
 
 // recordHead records that the head of the request that is being read is complete. It returns false if that is recorded
-// already, or if no request is being read. isWhole says whether all of the body, if any, was read with it.
-func (c *connection) recordHead(now time.Time, isWhole bool) (recorded bool) {
+// already, or if no request is being read. isWhole says whether all of the body, if any, was read with it. timeout is
+// that of the client; 0: not known.
+func (c *connection) recordHead(now time.Time, isWhole bool, timeout time.Duration) (recorded bool) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	if c.state.phase != phaseReading || !c.state.request.headAt.IsZero() {
 		return false
 	}
-	c.state.request.headAt = now
+	c.state.request.headAt, c.state.request.timeout = now, timeout
 	if isWhole {
-		c.state.request.isWhole = true
 		c.state.request.bodyAt = now
 	}
 	return true
 }
 
-// recordParsedHead corrects what the head said about the body, once net/http has parsed it. hasMore says whether bytes
-// of the body were not read.
-func (c *connection) recordParsedHead(hasMore bool) {
+// recordParsedHead records the ID of the current request once net/http has parsed its head, and corrects what the head
+// said about the body. hasMore says whether bytes of the body were not read.
+func (c *connection) recordParsedHead(id string, hasMore bool) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
+	c.state.requestID = id
 	if hasMore && c.state.request.bodyMemory == 0 {
-		c.state.request.isWhole = false
 		c.state.request.bodyAt = time.Time{}
 	}
 }
@@ -179,16 +120,22 @@
 	return request.headAt, request.bodyAt, request.hasWaited
 }
 
+// setAwaited records whether the agent waits for bytes of the client.
+func (c *connection) setAwaited(isAwaited bool) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.state.request.isAwaited = isAwaited
+}
+
 // setWaiting records whether the request waits for memory.
 func (c *connection) setWaiting(isWaiting bool) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
-	c.state.request.isWaiting = isWaiting
 	c.state.request.hasWaited = true
 	if isWaiting {
-		c.table.waiting++
+		c.table.waiting.add(c, time.Now())
 	} else {
-		c.table.waiting--
+		c.table.waiting.remove(c)
 	}
 }
 
@@ -239,8 +186,10 @@
 func (c *connection) recordRead(n int) error {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
+	c.state.request.isAwaited = false
 	switch c.state.phase {
 	case phaseReading:
+		c.state.request.readBytes += int64(n)
 		if unnoticed := c.state.request.takeQueued(n); unnoticed > 0 {
 			c.recordProgress(unnoticed, time.Now())
 		}
@@ -320,7 +269,7 @@
 		return false
 	}
 	remaining := c.state.request.remaining(c.table.timeouts)
-	if !c.state.request.isStallable() {
+	if !c.state.request.isAwaited {
 		remaining = max(remaining, minReadTimeout)
 	}
 	if remaining > 0 {
@@ -341,6 +290,43 @@
 	return previous
 }
 
+// recordResponse records that a response to the current request has started.
+func (c *connection) recordResponse() {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.state.hasResponse = true
+}
+
+// recordRequestError records why the current request gets no response.
+func (c *connection) recordRequestError(err error) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.state.requestErr = err
+}
+
+// progress returns the age of the current request and how many bytes of it were read.
+func (c *connection) progress() (age time.Duration, readBytes int64) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return time.Since(c.state.request.startedAt), c.state.request.readBytes
+}
+
+// unanswered returns the state of a request of which bytes were read and which has no response. It is called when the
+// connection has left the given phase in order to close. It reports false if there is none.
+func (c *connection) unanswered(previous phase) (request unansweredRequest, ok bool) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if previous != phaseReading && previous != phaseServing || c.state.hasResponse {
+		return unansweredRequest{}, false
+	}
+	return unansweredRequest{
+		id:        c.state.requestID,
+		err:       c.state.requestErr,
+		age:       time.Since(c.state.request.startedAt),
+		readBytes: c.state.request.readBytes,
+	}, true
+}
+
 // handleConnState handles a state change that net/http reports. It reports whether it has moved the connection to
 // phaseClosing; if so, the caller must call finishClose. This happens in a shutdown if a response was written just
 // before the shutdown started, and therefore without a Connection: close header.
@@ -406,6 +392,7 @@
 	c.state.phase = phaseReading
 	c.state.hadRequest = true
 	c.state.nextRequestStarted = false
+	c.state.hasResponse, c.state.requestID, c.state.requestErr = false, "", nil
 	c.state.request = requestProgress{number: c.state.request.number + 1, startedAt: now}
 	c.startRequestTimer(timeout)
 	_ = c.Conn.SetReadDeadline(time.Time{}) // clears the idle timeout; fails only if the connection is closed
@@ -418,9 +405,21 @@
 	c.state.phase = phaseServing
 }
 
+// enterRejected makes the caller the one that writes the response, with writeRejection.
 func (c *connection) enterRejected() {
 	c.exitReading()
 	c.state.phase = phaseRejected
+	c.state.hasResponse = true
+	c.state.rejectionWritten = make(chan struct{})
+	c.enterEnding()
+}
+
+// enterEnding counts the connection among those that are about to be closed.
+func (c *connection) enterEnding() {
+	if !c.state.isEnding {
+		c.state.isEnding = true
+		c.table.ending++
+	}
 }
 
 func (c *connection) enterClosing() {
--- a/internal/frontend/connectiontable.go
+++ b/internal/frontend/connectiontable.go
@@ -21,12 +21,13 @@
 	timeouts *Timeouts // the timeouts of the Server
 	budget   *membudget.Budget
 	log      *slog.Logger
+	ends     *connectionEnds
 	released chan struct{} // receives a value when a connection is closed; each value wakes one waiter only
 
 	mu            sync.Mutex
 	open          int  // number of connections that hold a descriptor
 	closeWhenIdle bool // set during a shutdown: close each connection once its response is written
-	waiting       int  // number of requests that wait for memory
+	ending        int  // number of connections that are in phaseRejected or linger
 	reclaiming    bool // reclaimMemory runs
 	// idle holds the connections in phaseIdle in the order in which they became idle, with two exceptions. A connection
 	// that is found to have unread bytes is removed early. A connection that gets a response to a malformed request
@@ -34,6 +35,7 @@
 	idle       connectionList
 	incomplete connectionList // connections in phaseReading, by the time at which their clients last made progress
 	lingering  connectionList // connections in phaseClosing whose incoming bytes are discarded
+	waiting    connectionList // connections whose request waits for memory
 }
 
 func newConnectionTable(maxOpen int, timeouts *Timeouts, budget *membudget.Budget,
@@ -43,6 +45,7 @@
 		timeouts: timeouts,
 		budget:   budget,
 		log:      log,
+		ends:     newConnectionEnds(log),
 		released: make(chan struct{}, 1),
 	}
 }
@@ -58,18 +61,23 @@
 }
 
 // release frees the slot of a connection that has been closed.
-func (t *connectionTable) release() {
-	t.decrementOpen()
+func (t *connectionTable) release(c *connection) {
+	t.remove(c)
 	select {
 	case t.released <- struct{}{}:
 	default:
 	}
 }
 
-func (t *connectionTable) decrementOpen() {
+// remove counts a connection as closed.
+func (t *connectionTable) remove(c *connection) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.open--
+	if c.state.isEnding {
+		c.state.isEnding = false
+		t.ending--
+	}
 }
 
 // counts returns the number of open connections, and how many of these are on the idle list.
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -74,7 +74,7 @@
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connectionOf(r)
 	conn.scanner.startBody(r.ContentLength)
-	conn.recordParsedHead(conn.scanner.bodyBytesRemaining() > 0)
+	conn.recordParsedHead(knownRequestID(r), conn.scanner.bodyBytesRemaining() > 0)
 	_ = conn.SetWriteDeadline(time.Time{}) // that of the previous response; fails only if the connection is closed
 	if r.URL.Path == protocol.HealthPath {
 		h.serveHealth(w)
@@ -132,6 +132,7 @@
 		w.WriteHeader(http.StatusBadGateway)
 		return
 	}
+	connectionOf(r).recordRequestError(err)
 	panic(http.ErrAbortHandler) // a return would send an empty response with status 200
 }
 
--- a/internal/frontend/headreader.go
+++ b/internal/frontend/headreader.go
@@ -63,8 +63,8 @@
 	return nil
 }
 
-// validateHeadSize returns the status with which the request is rejected because of its head, and the reason, or 0. kept
-// is the number of bytes that the connection keeps, which are bounded whatever the scanner makes of them.
+// validateHeadSize returns the status with which the request is rejected because of its head, and the reason, or 0.
+// kept is the number of bytes that the connection keeps, which are bounded whatever the scanner makes of them.
 func validateHeadSize(head headState, kept int) (status int, reason closeReason) {
 	switch {
 	case !head.isComplete && !head.isRequest:
@@ -79,6 +79,7 @@
 
 // readHeadBytes waits for further bytes and reads them.
 func (c *connection) readHeadBytes() error {
+	c.setAwaited(true)
 	if err := socket.WaitForReadable(c.Conn); err != nil {
 		return err
 	}
@@ -101,20 +102,20 @@
 	return net.ErrClosed
 }
 
-// completeHead handles the end of a head. It waits for a long body and reserves the memory for it.
+// completeHead handles the end of a head. It waits for the body and reserves the memory for a long one.
 func (c *connection) completeHead() error {
-	head := parseBodyFields(c.unread)
-	remaining := head.length - int64(c.scanner.bytesBehindHead())
-	if !c.recordHead(c.receivedAt(), remaining <= 0) || head.length <= unreservedBodyBytes {
+	head := parseHeadFields(c.unread)
+	remaining := head.bodyLength - int64(c.scanner.bytesBehindHead())
+	if !c.recordHead(c.receivedAt(), remaining <= 0, head.timeout) || head.bodyLength == 0 {
 		return nil
 	}
 	memory := c.requestMemory()
 	if remaining > 0 && !head.expectsContinue {
-		if err := c.waitForBody(memory, head.length, remaining); err != nil {
+		if err := c.waitForBody(memory, head.bodyLength, remaining); err != nil {
 			return err
 		}
 	}
-	if err := c.reserveBody(memory, head.length); err != nil {
+	if err := c.reserveBody(memory, head.bodyLength); err != nil {
 		return c.rejectHead(http.StatusServiceUnavailable, closeNoMemory)
 	}
 	return nil
@@ -135,35 +136,45 @@
 	return receivedAt
 }
 
-// The parameters for parsing a Content-Length.
+// The parameters for parsing a number of a head.
 const (
-	contentLengthBase = 10
+	decimalBase       = 10
 	contentLengthBits = 63
+	timeoutBits       = 32
 )
 
-// bodyFields are the fields of a head that concern the body.
-type bodyFields struct {
-	length          int64 // 0 if it is missing or invalid, and the maximum for longer bodies
-	expectsContinue bool  // the client sends the body only after an interim response
+// headFields are the fields of a head that matter before net/http has parsed it. net/http validates them later.
+type headFields struct {
+	bodyLength      int64         // 0 if it is missing or invalid, and the maximum for longer bodies
+	expectsContinue bool          // the client sends the body only after an interim response
+	timeout         time.Duration // 0 if it is missing or invalid
 }
 
-// parseBodyFields returns the fields of a head that concern the body.
-func parseBodyFields(head []byte) (fields bodyFields) {
+// parseHeadFields returns the fields of a head.
+func parseHeadFields(head []byte) (fields headFields) {
 	for line := range bytes.Lines(head) {
 		line = bytes.TrimSpace(line)
 		if len(line) == 0 {
 			break
 		}
 		name, value, _ := bytes.Cut(line, []byte{':'})
-		switch {
-		case bytes.EqualFold(name, []byte("Content-Length")):
-			length, err := strconv.ParseUint(string(bytes.TrimSpace(value)), contentLengthBase, contentLengthBits)
-			if err == nil {
-				fields.length = min(int64(length), protocol.MaxBodySize)
-			}
-		case bytes.EqualFold(name, []byte("Expect")):
-			fields.expectsContinue = true
-		}
+		fields.set(name, string(bytes.TrimSpace(value)))
 	}
 	return fields
 }
+
+// set sets the field of a line, if it has one.
+func (f *headFields) set(name []byte, value string) {
+	switch {
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		if length, err := strconv.ParseUint(value, decimalBase, contentLengthBits); err == nil {
+			f.bodyLength = min(int64(length), protocol.MaxBodySize)
+		}
+	case bytes.EqualFold(name, []byte("Expect")):
+		f.expectsContinue = true
+	case bytes.EqualFold(name, []byte(protocol.HeaderTimeout)):
+		if milliseconds, err := strconv.ParseUint(value, decimalBase, timeoutBits); err == nil {
+			f.timeout = time.Duration(milliseconds) * time.Millisecond
+		}
+	}
+}
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -34,6 +34,8 @@
 	// backlogSince is the time since which connections have waited in the accept queue for a slot; zero: none does. It
 	// is used only by the goroutine that accepts connections.
 	backlogSince time.Time
+	// queueDelay is how long clients wait in the accept queue. It is used only by that goroutine.
+	queueDelay queueDelay
 }
 
 func newConnectionListener(l net.Listener, table *connectionTable, log *slog.Logger) *connectionListener {
@@ -46,30 +48,44 @@
 	if err := l.waitForSlot(); err != nil {
 		return nil, err
 	}
-	if !l.backlogSince.IsZero() && !socket.HasPending(l.Listener) {
-		l.backlogSince = time.Time{}
+	if !l.backlogSince.IsZero() {
+		l.updateBacklog()
 	}
 	accepted, err := l.acceptWithRetry()
 	if err != nil {
 		return nil, err
 	}
 	c := l.table.add(accepted)
+	l.queueDelay.recordAccept(c.acceptedAt)
 	c.backlogSince = l.backlogSince
 	return c, nil
 }
 
+// updateBacklog ends the backlog if the accept queue is empty.
+func (l *connectionListener) updateBacklog() {
+	pending := socket.PendingCount(l.Listener)
+	l.queueDelay.recordLength(time.Now(), pending)
+	if pending == 0 {
+		l.backlogSince = time.Time{}
+	}
+}
+
 // waitForSlot blocks until the limit allows one more connection. While another client waits for a slot, those
 // that are silent or have stalled within a request give way. It returns net.ErrClosed if the listener is closed.
 func (l *connectionListener) waitForSlot() error {
 	for {
-		wait, ok := l.table.ensureSlot(time.Now())
+		now := time.Now()
+		waited := l.queueDelay.current(now)
+		wait, ok := l.table.ensureSlot(now, waited)
 		if ok {
 			return nil
 		}
+		pending := socket.PendingCount(l.Listener)
+		l.queueDelay.recordLength(now, pending)
 		if l.backlogSince.IsZero() {
-			l.backlogSince = time.Now()
+			l.backlogSince = now
 		}
-		if socket.HasPending(l.Listener) && l.table.freeSlotForPending() {
+		if l.table.freeSlotForPending(pending, waited) {
 			continue
 		}
 		if !l.sleep(min(wait, pendingPollInterval), l.table.released) {
--- a/internal/frontend/listener_test.go
+++ b/internal/frontend/listener_test.go
@@ -68,7 +68,7 @@
 	first := testutil.Dial(t, server.Addr(), testutil.RawPost(id, ""))
 	testutil.Receive(t, submitted)
 	second := testutil.Dial(t, server.Addr(), testutil.RawPost(otherID, "")) // waits in the accept queue
-	if wait, ok := server.connections.ensureSlot(time.Now().Add(time.Hour)); ok {
+	if wait, ok := server.connections.ensureSlot(time.Now().Add(time.Hour), 0); ok {
 		t.Errorf("got a slot of an open request (wait %v), want none", wait)
 	}
 	close(gate)
@@ -139,7 +139,7 @@
 		t.Fatalf("request that is not read yet: got %d bytes and error %v, want %d bytes", n, err, len(head))
 	}
 	listener.table.closeAllIdle() // the bytes are read, but net/http has not parsed a request yet
-	if _, ok := listener.table.ensureSlot(time.Now()); ok {
+	if _, ok := listener.table.ensureSlot(time.Now(), 0); ok {
 		t.Error("got a slot of a request that is being read, want none")
 	}
 	testutil.Write(t, client, "more")
--- a/internal/frontend/memory.go
+++ b/internal/frontend/memory.go
@@ -28,6 +28,9 @@
 	headCost = 3
 )
 
+// memoryWaitShare is the share of its timeout for which a request waits for memory, within the bounds of Timeouts.
+const memoryWaitShare = 0.6
+
 // errMemoryShort rejects a request for which there is no memory left.
 var errMemoryShort = &RequestError{Status: http.StatusServiceUnavailable, Reason: "out of memory for requests"}
 
@@ -76,7 +79,7 @@
 	if missing <= 0 || memory.TryGrow(membudget.Heads, missing) {
 		return true
 	}
-	for c.table.evictStalled(holdsHead, closeStalledForMemory) {
+	for c.table.evictStalled(holdsHead, c.table.timeouts.MinReclaimStalled, closeStalledForMemory) {
 		if memory.TryGrow(membudget.Heads, missing) {
 			return true
 		}
@@ -105,11 +108,20 @@
 	c.setWaiting(true)
 	defer c.setWaiting(false)
 	c.table.startReclaiming()
-	ctx, cancel := context.WithTimeout(context.Background(), c.table.timeouts.MemoryWait)
+	ctx, cancel := context.WithTimeout(context.Background(), c.memoryWait())
 	defer cancel()
 	return memory.Grow(ctx, kind, bytes)
 }
 
+// memoryWait returns how long the current request waits for memory before it is rejected.
+func (c *connection) memoryWait() time.Duration {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	timeouts := c.table.timeouts
+	wait := time.Duration(memoryWaitShare * float64(c.state.request.timeout))
+	return max(timeouts.MemoryWait, min(wait, timeouts.MaxMemoryWait))
+}
+
 // reserveBody reserves memory for a body of the given length, unless enough of it is reserved.
 func (c *connection) reserveBody(memory *membudget.Reservation, length int64) error {
 	missing := length - memory.Amount(membudget.Bodies)
--- a/internal/frontend/parse.go
+++ b/internal/frontend/parse.go
@@ -170,6 +170,15 @@
 	return id, nil
 }
 
+// knownRequestID returns the ID of a request for the log; empty if it is invalid.
+func knownRequestID(r *http.Request) string {
+	id, err := parseRequestID(r)
+	if err != nil {
+		return ""
+	}
+	return id
+}
+
 func isRequestID(id string) bool {
 	if len(id) != requestIDLength {
 		return false
--- a/internal/frontend/reclaim.go
+++ b/internal/frontend/reclaim.go
@@ -12,18 +12,27 @@
 	minSlotRetryInterval = time.Millisecond
 	// memoryReclaimInterval is the time between two attempts to free memory while requests wait for it.
 	memoryReclaimInterval = 5 * time.Millisecond
+	// maxEndingDivisor is the inverse of the share of connections that may be about to be closed for others at a time.
+	maxEndingDivisor = 4
 	// maxEvictionCandidates bounds the number of sockets that are examined to find one connection to evict.
 	maxEvictionCandidates = 16
 )
 
-// ensureSlot ensures that one more connection may be opened. If necessary it closes one that lingers, or else one that
-// is idle. If there is none to close, it returns the time to wait before the next call. It does not reserve the slot,
-// which is safe because a single goroutine accepts connections.
-func (t *connectionTable) ensureSlot(now time.Time) (wait time.Duration, ok bool) {
+// stallPatience returns how long a client may make no progress while it holds what another one has waited for. The
+// longer the other one has waited, the shorter it is: clients may pause, and the one that waits must be served in time.
+func (t *Timeouts) stallPatience(waited time.Duration) time.Duration {
+	return min(max(t.ReclaimWait-waited, t.MinReclaimStalled), t.ReclaimStalled)
+}
+
+// ensureSlot ensures that one more connection may be opened, for which a client has waited for the given time. If
+// necessary it closes one that lingers, or else one that is idle. If there is none to close, it returns the time to
+// wait before the next call. It does not reserve the slot, which is safe because a single goroutine accepts
+// connections.
+func (t *connectionTable) ensureSlot(now time.Time, waited time.Duration) (wait time.Duration, ok bool) {
 	if t.hasFreeSlot() {
 		return 0, true
 	}
-	if lingering := t.takeLingering(now); lingering != nil {
+	if lingering := t.takeLingering(now, t.timeouts.stallPatience(waited)); lingering != nil {
 		_ = lingering.finishClose() // the descriptor is released even if this returns an error
 		return 0, true
 	}
@@ -35,18 +44,23 @@
 	return max(wait, minSlotRetryInterval), false
 }
 
-// freeSlotForPending frees a slot for a client that waits in the accept queue. It evicts the client that has stalled
-// for longest within its request or, if there is none, closes the connection that has been open for longest without a
-// byte: its client may be about to send its first request. It reports whether there was one.
-func (t *connectionTable) freeSlotForPending() bool {
-	if t.evictStalled(holdsSlot, closeStalledForSlot) {
-		return true
+// freeSlotForPending frees slots for the given number of clients that wait in the accept queue, the first of them for
+// the given time. It evicts the clients that have stalled for longest within their requests, whose slots become free
+// soon, or, if there is none, closes the connection that has been open for longest without a byte: its client may be
+// about to send its first request. It reports whether a slot is free now.
+func (t *connectionTable) freeSlotForPending(pending int, waited time.Duration) bool {
+	patience := t.timeouts.stallPatience(waited)
+	maxEnding := min(pending, t.maxOpen/maxEndingDivisor+1)
+	for t.endingCount() < maxEnding && t.evictStalled(holdsSlot, patience, closeStalledForSlot) {
+	}
+	if t.endingCount() >= maxEnding {
+		return false
 	}
 	silent, _ := t.takeIdle(time.Now(), func(c *connection) time.Duration {
 		if c.state.hadRequest {
 			return t.timeouts.ReclaimIdle
 		}
-		return t.timeouts.ReclaimStalled
+		return t.timeouts.ReclaimSilent
 	})
 	if silent != nil {
 		silent.closeIdle(closeIdleForSlot)
@@ -54,6 +68,13 @@
 	return silent != nil
 }
 
+// endingCount returns the number of connections that are about to be closed.
+func (t *connectionTable) endingCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ending
+}
+
 func (t *connectionTable) hasFreeSlot() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -93,62 +114,50 @@
 }
 
 // takeStalled selects the matching connection whose client has made no progress with its request for the longest time,
-// moves it to phaseClosing and returns it. The caller must call evict. It returns nil if no client has stalled for long
-// enough. A client has not stalled if the agent has not noticed its bytes yet.
-func (t *connectionTable) takeStalled(now time.Time, matches func(*connection) bool) *connection {
+// moves it to phaseRejected and returns it. The caller must call evict. It returns nil if no client has stalled for the
+// given time. A client has stalled only while the agent waits for its bytes, and has noticed all that have come:
+// otherwise it is the agent that is late.
+func (t *connectionTable) takeStalled(now time.Time, matches func(*connection) bool,
+	patience time.Duration) *connection {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	candidates := 0
 	for c, since := range t.incomplete.all() {
-		if now.Sub(since) < t.timeouts.ReclaimStalled {
+		if now.Sub(since) < patience {
 			return nil
 		}
-		if !c.state.request.isStallable() || !matches(c) {
+		if !c.state.request.isAwaited || !matches(c) {
 			continue
 		}
 		if candidates++; candidates > maxEvictionCandidates {
 			break
 		}
 		if !c.hasNewBytes() {
-			c.enterClosing()
+			c.enterRejected()
 			return c
 		}
 	}
 	return nil
 }
 
-// evictStalled evicts the matching client that has stalled for longest, and reports whether there was one.
-func (t *connectionTable) evictStalled(matches func(*connection) bool, reason closeReason) bool {
-	stalled := t.takeStalled(time.Now(), matches)
+// evictStalled evicts the matching client that has stalled for longest, if that is the given time, and reports whether
+// there was one. Its memory is released, and its slot soon.
+func (t *connectionTable) evictStalled(matches func(*connection) bool, patience time.Duration,
+	reason closeReason) bool {
+	stalled := t.takeStalled(time.Now(), matches, patience)
 	if stalled != nil {
 		stalled.evict(reason)
 	}
 	return stalled != nil
 }
 
-// startLinger records that the incoming bytes of a connection are discarded from now on.
-func (t *connectionTable) startLinger(c *connection) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.lingering.add(c, time.Now())
-}
-
-// endLinger reverts startLinger. It reports false if takeLingering has returned the connection.
-func (t *connectionTable) endLinger(c *connection) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	isLingering := t.lingering.contains(c)
-	t.lingering.remove(c)
-	return isLingering
-}
-
-// takeLingering removes the connection that has lingered longest from the list, if it has lingered for long enough, and
-// returns it. The caller must call finishClose.
-func (t *connectionTable) takeLingering(now time.Time) *connection {
+// takeLingering removes the connection that has lingered longest from the list, if it has lingered for the given time,
+// and returns it. The caller must call finishClose.
+func (t *connectionTable) takeLingering(now time.Time, patience time.Duration) *connection {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c, since := range t.lingering.all() {
-		if now.Sub(since) < t.timeouts.ReclaimStalled {
+		if now.Sub(since) < patience {
 			return nil
 		}
 		t.lingering.remove(c)
@@ -169,14 +178,15 @@
 
 // reclaimMemory frees memory for the requests that wait for it, until none does.
 func (t *connectionTable) reclaimMemory() {
-	for t.isWaitedFor() {
+	for waited, ok := t.memoryWaited(); ok; waited, ok = t.memoryWaited() {
+		patience := t.timeouts.stallPatience(waited)
 		for range t.budget.Waiting(membudget.Handlers) {
-			if !t.closeIdleHandler() && !t.evictStalled(holdsHandler, closeStalledForMemory) {
+			if !t.closeIdleHandler() && !t.evictStalled(holdsHandler, patience, closeStalledForMemory) {
 				break
 			}
 		}
 		for range t.budget.Waiting(membudget.Bodies) {
-			if !t.evictStalled(holdsBody, closeStalledForMemory) {
+			if !t.evictStalled(holdsBody, patience, closeStalledForMemory) {
 				break
 			}
 		}
@@ -184,12 +194,17 @@
 	}
 }
 
-// isWaitedFor reports whether a request waits for memory. If not, startReclaiming starts reclaimMemory again.
-func (t *connectionTable) isWaitedFor() bool {
+// memoryWaited returns how long a request has waited for memory, the one that has waited for longest. If none waits, it
+// reports false, and startReclaiming starts reclaimMemory again.
+func (t *connectionTable) memoryWaited() (waited time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.reclaiming = t.waiting > 0
-	return t.reclaiming
+	t.reclaiming = false
+	for _, since := range t.waiting.all() {
+		t.reclaiming = true
+		return time.Since(since), true
+	}
+	return 0, false
 }
 
 // closeIdleHandler closes the connection that has been idle longest among those that net/http serves, and reports
@@ -197,7 +212,7 @@
 func (t *connectionTable) closeIdleHandler() bool {
 	idle, _ := t.takeIdle(time.Now(), func(c *connection) time.Duration {
 		if holdsHandler(c) {
-			return t.timeouts.ReclaimStalled
+			return t.timeouts.ReclaimIdleHandler
 		}
 		return t.timeouts.FirstByte
 	})
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -27,8 +27,13 @@
 	defaultReclaimUnusedTimeout = 250 * time.Millisecond
 	// A connection may be reclaimed slightly before it times out as idle.
 	defaultIdleTimeout                  = defaultReclaimIdleTimeout + 100*time.Millisecond
-	defaultReclaimStalledTimeout        = 50 * time.Millisecond
+	defaultReclaimStalledTimeout        = 250 * time.Millisecond
+	defaultMinReclaimStalledTimeout     = 50 * time.Millisecond
+	defaultReclaimWaitTimeout           = 500 * time.Millisecond
+	defaultReclaimSilentTimeout         = 50 * time.Millisecond
+	defaultReclaimIdleHandlerTimeout    = 50 * time.Millisecond
 	defaultMemoryWaitTimeout            = 300 * time.Millisecond
+	defaultMaxMemoryWaitTimeout         = 900 * time.Millisecond
 	defaultResponseWriteTimeout         = 500 * time.Millisecond
 	defaultMalformedLingerTimeout       = 100 * time.Millisecond
 	defaultReadyWithoutEndpointsTimeout = 5 * time.Second
@@ -52,12 +57,20 @@
 	// ReclaimUnused replaces ReclaimIdle for a connection that has not had any request. It is shorter, since clients
 	// connect in order to send a request.
 	ReclaimUnused time.Duration
-	// ReclaimStalled is how long a client must have made no progress with its request before its connection may be
-	// closed to free its descriptor or memory for another client. It also applies to idle connections if memory is
-	// short, and to connections without a request while another client waits in the accept queue.
-	ReclaimStalled time.Duration
-	// MemoryWait is how long a request waits for memory before it is rejected.
-	MemoryWait time.Duration
+	// ReclaimStalled is how long a client must have made no progress with its request before it may be evicted to free
+	// its descriptor or memory for another client. Likewise a connection with a rejected request, or with a response to
+	// a request that is not complete, stays open for that long. If the other client has waited, both are reduced to the
+	// rest of ReclaimWait, but not below MinReclaimStalled.
+	ReclaimStalled, MinReclaimStalled time.Duration
+	// ReclaimWait is how long another client should wait for a descriptor or memory at most.
+	ReclaimWait time.Duration
+	// ReclaimSilent replaces ReclaimUnused while another client waits in the accept queue.
+	ReclaimSilent time.Duration
+	// ReclaimIdleHandler replaces ReclaimIdle while a request waits for memory to be handled.
+	ReclaimIdleHandler time.Duration
+	// MemoryWait is how long a request waits for memory before it is rejected. A request with a long timeout waits for
+	// longer, up to MaxMemoryWait.
+	MemoryWait, MaxMemoryWait time.Duration
 	// ResponseWrite is how long after its timeout a client may take to read the response.
 	ResponseWrite time.Duration
 	// MalformedLinger is how long the rest of a malformed request is read before its connection is closed.
@@ -77,7 +90,12 @@
 		ReclaimIdle:           defaultReclaimIdleTimeout,
 		ReclaimUnused:         defaultReclaimUnusedTimeout,
 		ReclaimStalled:        defaultReclaimStalledTimeout,
+		MinReclaimStalled:     defaultMinReclaimStalledTimeout,
+		ReclaimWait:           defaultReclaimWaitTimeout,
+		ReclaimSilent:         defaultReclaimSilentTimeout,
+		ReclaimIdleHandler:    defaultReclaimIdleHandlerTimeout,
 		MemoryWait:            defaultMemoryWaitTimeout,
+		MaxMemoryWait:         defaultMaxMemoryWaitTimeout,
 		ResponseWrite:         defaultResponseWriteTimeout,
 		MalformedLinger:       defaultMalformedLingerTimeout,
 		ReadyWithoutEndpoints: defaultReadyWithoutEndpointsTimeout,
@@ -153,6 +171,9 @@
 	return s.http.Close()
 }
 
+// LogTotals logs how the connections and the requests on them have ended that got no response of the event loop.
+func (s *Server) LogTotals() { s.connections.ends.logTotals() }
+
 // ConnectionCounts returns the number of open connections, and how many of these are on the idle list. It is used only
 // in tests.
 func (s *Server) ConnectionCounts() (open, idle int) { return s.connections.counts() }
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -68,6 +70,19 @@
 	}
 }
 
+// WriteNow writes p to a socket as far as the system takes it at once, whatever the write deadline. Errors are ignored.
+func WriteNow(conn net.Conn, p []byte) {
+	raw, err := rawConn(conn)
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { // fails on a closed connection
+		_, _ = retryTransient(func() (int, error) {
+			return unix.SendmsgN(int(fd), p, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+		})
+	})
+}
+
 // SyscallConn implements syscall.Conn.
 func (c Conn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
 
--- a/internal/socket/queue_test.go
+++ b/internal/socket/queue_test.go
@@ -84,23 +84,28 @@
 	testutil.WaitFor(t, "the reset", func() bool { return socket.IsBroken(local) })
 }
 
-// HasPending reports whether a connection waits in the accept queue.
-func TestHasPending(t *testing.T) {
+// PendingCount returns the number of connections in the accept queue.
+func TestPendingCount(t *testing.T) {
 	listener := testutil.Listen(t)
-	if socket.HasPending(listener) {
-		t.Error("got a pending connection before any connect")
-	}
-	testutil.Dial(t, listener.Addr(), "")
-	testutil.WaitFor(t, "the connection", func() bool { return socket.HasPending(listener) })
-	accepted, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = accepted.Close() }()
-	if socket.HasPending(listener) {
-		t.Error("got a pending connection after the accept")
-	}
-	if !socket.HasPending(struct{ net.Listener }{listener}) {
+	if n := socket.PendingCount(listener); n != 0 {
+		t.Errorf("got %d pending connections before any connect, want none", n)
+	}
+	const count = 3
+	for range count {
+		testutil.Dial(t, listener.Addr(), "")
+	}
+	testutil.WaitFor(t, "the connections", func() bool { return socket.PendingCount(listener) == count })
+	for left := count - 1; left >= 0; left-- {
+		accepted, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = accepted.Close() }()
+		if n := socket.PendingCount(listener); n != left {
+			t.Errorf("got %d pending connections, want %d", n, left)
+		}
+	}
+	if n := socket.PendingCount(struct{ net.Listener }{listener}); n == 0 {
 		t.Error("got no pending connection where that is unknown")
 	}
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -140,24 +141,30 @@
 	return isBroken
 }
 
-// HasPending reports whether a connection waits in the accept queue of a listener. It also reports true if that is
-// unknown.
-func HasPending(listener net.Listener) bool {
-	syscallConn, ok := listener.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := syscallConn.SyscallConn()
+// unknownPending is the result of PendingCount if the number is unknown. No queue is as long.
+const unknownPending = math.MaxInt32
+
+// PendingCount returns the number of connections in the accept queue of a listener, or unknownPending if it is not
+// known and there may be some.
+func PendingCount(listener net.Listener) int {
+	raw, err := rawConn(listener)
 	if err != nil {
-		return true
+		return unknownPending
 	}
 	isPending := true
-	err = raw.Control(func(fd uintptr) {
+	controlErr := raw.Control(func(fd uintptr) {
 		if revents, pollErr := pollEvents(fd, unix.POLLIN); pollErr == nil {
 			isPending = revents != 0
 		}
 	})
-	return err != nil || isPending
+	if controlErr == nil && !isPending {
+		return 0
+	}
+	info, err := tcpInfo(listener)
+	if err != nil || info.Unacked == 0 {
+		return unknownPending
+	}
+	return int(info.Unacked) // of a listener: the length of the accept queue
 }
 
 // QueueState is the state of the received bytes of a socket that were not read.
@@ -228,22 +235,27 @@
 // SinceReceived returns how long ago at least the last bytes were received on a connection. It is less than the real
 // time by up to two ticks of the system, and 0 if the time is unknown.
 func SinceReceived(conn net.Conn) time.Duration {
-	raw, err := rawConn(conn)
+	info, err := tcpInfo(conn)
 	if err != nil {
 		return 0
 	}
-	var info *unix.TCPInfo
+	return max(0, time.Duration(info.Last_data_recv)*time.Millisecond-maxTick)
+}
+
+// tcpInfo returns the system's information on a TCP socket.
+func tcpInfo(socket any) (info *unix.TCPInfo, err error) {
+	raw, err := rawConn(socket)
+	if err != nil {
+		return nil, err
+	}
 	controlErr := raw.Control(func(fd uintptr) {
 		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	if err != nil || controlErr != nil {
-		return 0
-	}
-	return max(0, time.Duration(info.Last_data_recv)*time.Millisecond-maxTick)
+	return info, errors.Join(controlErr, err)
 }
 
 // rawConn returns the raw connection of a socket. The error wraps errors.ErrUnsupported if conn is not a socket.
-func rawConn(conn net.Conn) (syscall.RawConn, error) {
+func rawConn(conn any) (syscall.RawConn, error) {
 	syscallConn, ok := conn.(syscall.Conn)
 	if !ok {
 		return nil, fmt.Errorf("get raw connection of %T: %w", conn, errors.ErrUnsupported)
--- a/internal/telemetry/messages.go
+++ b/internal/telemetry/messages.go
@@ -21,6 +21,10 @@
 	MsgPollFailed               = "poll failed"
 	MsgAcceptFailed             = "accept failed"
 	MsgClientConnectionClosed   = "client connection closed"
+	MsgClientConnectionTotals   = "client connections ended"
+	MsgIncompleteRejected       = "incomplete request rejected"
+	MsgClientLeft               = "client left before its response"
+	MsgRequestUnanswered        = "connection closed without a response"
 	MsgRequestRefused           = "request refused"
 	MsgMemoryShort              = "memory budget exhausted"
 	MsgMemoryUsage              = "memory budget usage"
@@ -79,5 +83,8 @@
 // Discovery returns the attribute for the address of discovery.
 func Discovery(addr string) slog.Attr { return slog.String(KeyDiscovery, addr) }
 
+// Dropped returns the attribute for the number of lines that a rate limit has dropped since the previous line.
+func Dropped(lines int) slog.Attr { return slog.Int(KeyDropped, lines) }
+
 // Err returns the attribute for an error.
 func Err(err error) slog.Attr { return slog.Any(KeyErr, err) }
--- a/internal/telemetry/ratelimit.go
+++ b/internal/telemetry/ratelimit.go
@@ -15,13 +15,13 @@
 // next line that passes has the attribute KeyDropped with the number of dropped lines. Lines that a Writer drops later
 // are not counted. Lines at level DEBUG are not limited: they are written only if an operator has asked for them.
 func RateLimited(h slog.Handler) slog.Handler {
-	return rateLimited{Handler: h, limiter: &lineLimiter{now: time.Now}}
+	return rateLimited{Handler: h, limiter: NewLimiter(maxLinesPerSecond)}
 }
 
 // rateLimited is the handler returned by RateLimited. The handlers derived from it share its limiter.
 type rateLimited struct {
 	slog.Handler
-	limiter *lineLimiter
+	limiter *Limiter
 }
 
 // Handle implements slog.Handler.
@@ -29,12 +29,12 @@
 	if record.Level < slog.LevelInfo {
 		return h.Handler.Handle(ctx, record)
 	}
-	allowed, dropped := h.limiter.allow()
+	allowed, dropped := h.limiter.Allow()
 	if !allowed {
 		return nil
 	}
 	if dropped > 0 {
-		record.AddAttrs(slog.Int(KeyDropped, dropped))
+		record.AddAttrs(Dropped(dropped))
 	}
 	return h.Handler.Handle(ctx, record)
 }
@@ -49,10 +49,11 @@
 	return rateLimited{Handler: h.Handler.WithGroup(name), limiter: h.limiter}
 }
 
-// lineLimiter is a fixed-window rate limiter. A window of one second starts with the first line after the end of the
-// previous window. lineLimiter is safe for concurrent use.
-type lineLimiter struct {
-	now func() time.Time
+// Limiter is a fixed-window rate limiter of log lines. A window of one second starts with the first line after the end
+// of the previous window. Limiter is safe for concurrent use.
+type Limiter struct {
+	now            func() time.Time
+	linesPerSecond int
 
 	mu              sync.Mutex // protects the fields below
 	windowStartedAt time.Time
@@ -60,9 +61,14 @@
 	dropped         int // lines dropped since the last line that passed
 }
 
-// allow records a line and reports whether it may pass. If it may, dropped is the number of lines dropped since the
+// NewLimiter returns a limiter that allows the given number of lines in each window.
+func NewLimiter(linesPerSecond int) *Limiter {
+	return &Limiter{now: time.Now, linesPerSecond: linesPerSecond}
+}
+
+// Allow records a line and reports whether it may pass. If it may, dropped is the number of lines dropped since the
 // previous line that passed.
-func (l *lineLimiter) allow() (allowed bool, dropped int) {
+func (l *Limiter) Allow() (allowed bool, dropped int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now := l.now(); now.Sub(l.windowStartedAt) >= time.Second {
@@ -70,7 +76,7 @@
 		l.linesInWindow = 0
 	}
 	l.linesInWindow++
-	if l.linesInWindow > maxLinesPerSecond {
+	if l.linesInWindow > l.linesPerSecond {
 		l.dropped++
 		return false, 0
 	}
