Send an error whole, and let its connection linger while the request may go on

Callers could get a part of an error, a reset in its place, or nothing, if the body of their request came some 100 ms later. The error was sent in chunks, the last one only after the body had come or 100 ms had passed, which was also the deadline of the write: response.go, handler.go (minResponseWriteTimeout). A hold-up of the agent between the deadline and the write had the same effect on any error. Behind it, the connection was closed at once if no byte was unread just then, and the rest of the body reset it (connection.go, Close).

A connection lingers while its request is incomplete and its client has not left.

TestBodyBehindAnErrorDoesNotResetIt failed before with half a response.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -192,7 +192,10 @@
 // mayGetMore reports whether there are unread bytes of the client, or may be some later, since its request is
 // incomplete.
 func (c *connection) mayGetMore(previous phase) bool {
-	return previous == phaseRejected || socket.HasUnread(c.Conn)
+	if previous == phaseRejected || socket.HasUnread(c.Conn) {
+		return true
+	}
+	return c.scanner.isWithinRequest() && !socket.Peer(c.Conn).Closed
 }
 
 // evict responds to the request of a client that has stalled, after takeStalled, and releases its memory. Whoever reads
--- a/internal/frontend/ends_test.go
+++ b/internal/frontend/ends_test.go
@@ -48,6 +48,19 @@
 	}
 }
 
+// A client that gets an error before its body has come gets it although the body comes later.
+func TestBodyBehindAnErrorDoesNotResetIt(t *testing.T) {
+	t.Parallel()
+	const length = 100
+	server, _ := startServer(t, testutil.Config(t, "127.0.0.1:1"), echo, nil)
+	post := strings.Replace(testutil.RawPost(id, "Content-Length: "+strconv.Itoa(length)+"\r\n"), "/settle", "/none", 1)
+	client := testutil.Dial(t, server.Addr(), post)
+	testutil.WaitFor(t, "the error", func() bool { return socket.HasUnread(client) })
+	time.Sleep(2 * server.Timeouts.MalformedLinger)
+	testutil.Write(t, client, strings.Repeat("x", length))
+	expectAnswerWithoutReset(t, client, http.StatusNotFound)
+}
+
 // newTestTable returns a table without a limit, and an accepted connection with its client.
 func newTestTable(t *testing.T) (table *connectionTable, c *connection, client net.Conn, log *testutil.Log) {
 	t.Helper()
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -198,6 +198,14 @@
 	return s.state != scanImpossible && s.startLength > 0
 }
 
+// isWithinRequest reports whether a request has started of which not all bytes were added. It also reports true if the
+// scanner can't tell.
+func (s *requestScanner) isWithinRequest() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state != scanHead || s.headLength > 0
+}
+
 // bytesBehindHead returns the number of bytes that were added behind a head whose body has an unknown length.
 func (s *requestScanner) bytesBehindHead() int {
 	s.mu.Lock()
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -27,8 +27,13 @@
 func (h *handler) rejectMalformed(w http.ResponseWriter, r *http.Request, requestErr *RequestError) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(h.timeouts.MalformedLinger))
-	w.Header().Set("Connection", "close")
-	http.Error(w, requestErr.Reason, requestErr.Status)
+	body := requestErr.Reason + "\n"
+	header := w.Header()
+	header.Set("Connection", "close")
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(body))) // without it, the flush sends a part of the response only
+	w.WriteHeader(requestErr.Status)
+	_, _ = io.WriteString(w, body)
 	_ = controller.Flush()
 	_, _ = io.CopyN(io.Discard, r.Body, maxLingerBytes)
 }
