Reject the requests that start at the very end of a shutdown

Requests on connections that had been open and unread until then were read after the last pass over incomplete requests, and their connections ended with the process: no answer for what had been read.

Change: from that pass on a request is rejected as soon as it is read, and one that waits for net/http when it stops gets a 503 as well.

TestRequestsAfterLastRejectionAreAnswered failed before: the request was submitted.

--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -80,7 +80,8 @@
 	select {
 	case l.admitted <- c:
 	case <-l.closed:
-		_ = c.Close() // an error means that the connection is closed
+		_ = c.rejectHead(http.StatusServiceUnavailable, closeShuttingDown) // an error means that it is closed
+		_ = c.Close()                                                      // an error means that it is closed
 	}
 }
 
--- a/internal/frontend/connectiontable.go
+++ b/internal/frontend/connectiontable.go
@@ -27,6 +27,7 @@
 	mu            sync.Mutex
 	open          int  // number of connections that hold a descriptor
 	closeWhenIdle bool // set during a shutdown: close each connection once its response is written
+	rejectAll     bool // set at the end of a shutdown: reject each request that is not complete
 	ending        int  // number of connections that are in phaseRejected or linger
 	reclaiming    bool // reclaimMemory runs
 	// idle holds the connections in phaseIdle in the order in which they became idle, with two exceptions. A connection
@@ -134,8 +135,10 @@
 	return closing
 }
 
-// rejectIncomplete implements Server.RejectIncomplete, with the given status in the responses.
+// rejectIncomplete implements Server.RejectIncomplete, with the given status in the responses. Requests that start later
+// are rejected as well.
 func (t *connectionTable) rejectIncomplete(status int) {
+	t.startRejectingAll()
 	for c, number := range t.incompleteRequests() {
 		if c.rejectIncomplete(number) {
 			c.writeRejection(status, closeShuttingDown)
@@ -143,6 +146,19 @@
 	}
 }
 
+func (t *connectionTable) startRejectingAll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rejectAll = true
+}
+
+// rejectsAll reports whether each request that is not complete is rejected.
+func (t *connectionTable) rejectsAll() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rejectAll
+}
+
 // incompleteRequests returns the numbers of the incomplete requests by connection.
 func (t *connectionTable) incompleteRequests() map[*connection]int {
 	t.mu.Lock()
--- a/internal/frontend/ends_test.go
+++ b/internal/frontend/ends_test.go
@@ -129,6 +129,18 @@
 	<-read
 }
 
+// After the incomplete requests are rejected at the end of a shutdown, those that start later are rejected as well.
+func TestRequestsAfterLastRejectionAreAnswered(t *testing.T) {
+	t.Parallel()
+	server, loop := startServer(t, testutil.Config(t, "127.0.0.1:1"), echo, nil)
+	server.RejectIncomplete()
+	client := testutil.Dial(t, server.Addr(), testutil.RawGet(id))
+	expectAnswerWithoutReset(t, client, http.StatusServiceUnavailable)
+	if count := loop.submittedCount.Load(); count != 0 {
+		t.Errorf("got %d requests submitted, want none", count)
+	}
+}
+
 // Each end of a request without a response of the event loop is logged with its reason, and counted.
 func TestEndsAreLogged(t *testing.T) {
 	t.Parallel()
--- a/internal/frontend/headreader.go
+++ b/internal/frontend/headreader.go
@@ -47,6 +47,9 @@
 		if head.isParsed {
 			return nil
 		}
+		if c.table.rejectsAll() {
+			return c.rejectHead(http.StatusServiceUnavailable, closeShuttingDown)
+		}
 		if status, reason := validateHeadSize(head, len(c.unread)); status != 0 {
 			return c.rejectHead(status, reason)
 		}
