Do not read and drop a request that crosses the close of an idle connection

If bytes came just as an idle connection timed out, the connection lingered: the agent read the request, dropped it and closed without an answer. A client sends a request again only if it was not read, and a read one without an answer is lost (connection.go, Close and waitForFirstByte).

Change: bytes that have come when the wait times out are served, and an idle connection is closed without reading, so that its client sees a reset.

TestRequestAtIdleTimeoutIsRead and TestCloseOfIdleConnectionReadsNothing failed before: a time-out in place of the request, and an end in place of the reset.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -115,7 +115,8 @@
 // waitForFirstByte blocks until an idle connection has bytes to read, and moves it to phaseReading.
 func (c *connection) waitForFirstByte() error {
 	if len(c.unread) == 0 && c.isIdle() {
-		if err := socket.WaitForReadable(c.Conn); err != nil {
+		// A request may arrive as the wait times out.
+		if err := socket.WaitForReadable(c.Conn); err != nil && !socket.HasUnread(c.Conn) {
 			return err
 		}
 	}
@@ -174,7 +175,8 @@
 
 // Close closes the connection and releases its slot. Closing a socket with unread bytes resets the connection, and so
 // does a byte that arrives later; a response that is still in transit is then lost. If there are such bytes, or if they
-// may arrive because a request is incomplete, the connection lingers.
+// may arrive because a request is incomplete, the connection lingers. An idle connection does not: its client sends a
+// request that crosses the close again, if the agent has not read it.
 func (c *connection) Close() error {
 	previous := c.startClose()
 	c.releaseMemory()
@@ -182,7 +184,7 @@
 	switch {
 	case previous == phaseClosing:
 		return c.Conn.Close()
-	case c.mayGetMore(previous) && !socket.IsBroken(c.Conn):
+	case previous != phaseIdle && c.mayGetMore(previous) && !socket.IsBroken(c.Conn):
 		go c.lingerAndClose() // returns after maxLingerTime at the latest
 		return nil
 	}
--- a/internal/frontend/ends_test.go
+++ b/internal/frontend/ends_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -85,6 +87,35 @@
 	testutil.WaitFor(t, "the bytes", func() bool { return socket.Queued(c.Conn).Bytes == len(text) })
 }
 
+// A request that crosses the close of an idle connection must not be read: its client sends it again only then.
+func TestCloseOfIdleConnectionReadsNothing(t *testing.T) {
+	t.Parallel()
+	table, c, client, _ := newTestTable(t)
+	receiveBytes(t, c, client, testutil.RawGet(id))
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("got error %v, want a reset", err)
+	}
+	if open, _ := table.counts(); open != 0 {
+		t.Errorf("got %d open connections, want none", open)
+	}
+}
+
+// A request that arrives as the wait for it times out is served.
+func TestRequestAtIdleTimeoutIsRead(t *testing.T) {
+	t.Parallel()
+	_, c, client, _ := newTestTable(t)
+	receiveBytes(t, c, client, testutil.RawGet(id))
+	if err := c.SetReadDeadline(time.Now().Add(-time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := c.Read(make([]byte, 1000)); n != len(testutil.RawGet(id)) || err != nil {
+		t.Errorf("got %d bytes and error %v, want the request", n, err)
+	}
+}
+
 // The response to a rejected request must be written before its connection is closed, even if whoever reads the
 // connection closes it first.
 func TestCloseWaitsForRejection(t *testing.T) {
