Drop the white space between the lists of a watch, and bound response heads

By reading, of the same class as the empty lines of clients: the decoder keeps the white space before a list until the list is complete. Discovery sends an empty line every 2 s, so that memory grew while no change came, up to the 8 MiB at which the watch then failed; and the heads of discovery's responses had net/http's bound of 10 MB (watchreader.go, http.go).

Change: white space between lists is not passed on and counts for no limit; heads are bounded by 16 KiB. A watch that sends 8 MiB of spaces in front of a list no longer fails: in TestWatchErrors the spaces stand within a list, which still must.

--- a/internal/discovery/http.go
+++ b/internal/discovery/http.go
@@ -19,6 +19,9 @@
 // watch fails with errListTooLarge.
 const maxListSize = 8 << 20
 
+// maxResponseHeadSize is the maximum size in bytes of the head of a response.
+const maxResponseHeadSize = 16 << 10
+
 // errRefused marks a request to which discovery responded with a status other than 200. The decision module has one
 // event for all such statuses, ListRefused.
 var errRefused = errors.New("discovery responded with a status other than 200")
@@ -33,6 +36,8 @@
 		DisableKeepAlives:     true,
 		DisableCompression:    true,
 		ResponseHeaderTimeout: defaultCallTimeout,
+
+		MaxResponseHeaderBytes: maxResponseHeadSize,
 	}}
 }
 
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -62,7 +62,7 @@
 // readLists reads and applies the lists of a watch.
 func (c *Client) readLists(ctx context.Context, w *watch, reader *watchReader) error {
 	for decoder := json.NewDecoder(reader); ; {
-		reader.prepareForList(c.listTimeout.current())
+		reader.prepareForList(c.listTimeout.current(), decoder.Buffered())
 		list, err := readList(ctx, decoder)
 		if err != nil {
 			return err
