Bound the fields of a response's head and trailers, and the buffer of its body

A head of 16 KiB had up to 5,000 parsed fields, a trailer section of 128 KiB up to 40,000, both outside of the memory budget; a body without a stated length grew step by step to twice its reservation (response.go, framing.go). Only an endpoint can send them.

--- a/internal/upstream/framing.go
+++ b/internal/upstream/framing.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -94,8 +95,10 @@
 		return nil, err
 	}
 	// The last chunk is followed by a trailer section, which is usually empty. The chunked reader leaves it unread.
-	_, err = textproto.NewReader(in).ReadMIMEHeader()
-	return body, err
+	return body, readLines(in, func(lines *textproto.Reader) error {
+		_, err := lines.ReadMIMEHeader()
+		return err
+	})
 }
 
 // readAtMost reads in to its end and returns an error if that is more than limit bytes. It also returns an error if the
@@ -108,13 +111,16 @@
 	if err := reserve(limit); err != nil {
 		return nil, err
 	}
-	body := bytes.NewBuffer(start)
-	n, err := body.ReadFrom(io.LimitReader(in, int64(limit-len(start)+1)))
-	if err != nil {
-		return nil, err
-	}
-	if len(start)+int(n) > limit {
-		return nil, fmt.Errorf("response body exceeds %d bytes", limit)
+	body := make([]byte, limit+1) // not grown step by step, which would take more than what is reserved
+	for length := copy(body, start); length <= limit; {
+		n, err := in.Read(body[length:])
+		length += n
+		switch {
+		case errors.Is(err, io.EOF):
+			return bytes.Clone(body[:length]), nil
+		case err != nil:
+			return nil, err
+		}
 	}
-	return body.Bytes(), nil
+	return nil, fmt.Errorf("response body exceeds %d bytes", limit)
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -72,21 +72,28 @@
 	if err := validateProtocol(in); err != nil {
 		return responseHead{}, err
 	}
-	reader := textproto.NewReader(in)
-	line, err := reader.ReadLine()
+	var head responseHead
+	err := readLines(in, head.read)
+	return head, err
+}
+
+// read reads the status line and the header.
+func (h *responseHead) read(in *textproto.Reader) error {
+	line, err := in.ReadLine()
 	if err != nil {
-		return responseHead{}, err
+		return err
 	}
 	version, status, err := parseStatusLine(line)
 	if err != nil {
-		return responseHead{}, err
+		return err
 	}
-	header, err := reader.ReadMIMEHeader()
+	header, err := in.ReadMIMEHeader()
 	if err != nil {
-		return responseHead{}, err
+		return err
 	}
 	closes := version != "HTTP/1.1" || strings.EqualFold(header.Get("Connection"), "close")
-	return responseHead{status: status, header: header, keepAlive: !closes}, nil
+	*h = responseHead{status: status, header: header, keepAlive: !closes}
+	return nil
 }
 
 // validateProtocol returns an error unless the response starts with protocolPrefix. It peeks byte by byte, so that it
