--- a/internal/discovery/watchreader.go
+++ b/internal/discovery/watchreader.go
@@ -8,8 +8,8 @@
 
 // watchReader reads the response body of a watch and limits the size and the duration of each list. Between two lists,
 // each received byte resets the idle timer, and white space, such as the empty lines that discovery sends, is dropped:
-// the decoder would keep all of it until the next list. Within a list, the idle timer is stopped and the list timer runs. Received
-// bytes do not reset the list timer, so that a list whose bytes trickle in forever times out.
+// the decoder would keep all of it until the next list. Within a list, the idle timer is stopped and the list timer
+// runs. Received bytes do not reset the list timer, so that a list whose bytes trickle in forever times out.
 type watchReader struct {
 	body        io.Reader
 	idleTimer   *time.Timer // ends the watch when no data is received between lists; stopped within a list
--- a/internal/frontend/connectiontable.go
+++ b/internal/frontend/connectiontable.go
@@ -135,8 +135,8 @@
 	return closing
 }
 
-// rejectIncomplete implements Server.RejectIncomplete, with the given status in the responses. Requests that start later
-// are rejected as well.
+// rejectIncomplete implements Server.RejectIncomplete, with the given status in the responses. Requests that start
+// later are rejected as well.
 func (t *connectionTable) rejectIncomplete(status int) {
 	t.startRejectingAll()
 	for c, number := range t.incompleteRequests() {
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -19,8 +19,8 @@
 // net/http does not detect.
 const disconnectPollInterval = 100 * time.Millisecond
 
-// minResponseWriteTimeout is the time that a client has at least to read a response. The agent may be held up for a part
-// of it before the write.
+// minResponseWriteTimeout is the time that a client has at least to read a response. The agent may be held up for a
+// part of it before the write.
 const minResponseWriteTimeout = 500 * time.Millisecond
 
 // The reasons, besides a malformed request, why a request gets no response from the event loop.
--- a/internal/upstream/headlines.go
+++ b/internal/upstream/headlines.go
@@ -17,8 +17,8 @@
 	count int // lines that were read
 }
 
-// Read implements io.Reader. It returns at most the rest of a line, so that a buffered reader of it does not read beyond
-// the end of a head.
+// Read implements io.Reader. It returns at most the rest of a line, so that a buffered reader of it does not read
+// beyond the end of a head.
 func (l *headLines) Read(p []byte) (int, error) {
 	if l.count > maxHeadLines {
 		return 0, fmt.Errorf("response has more than %d header lines", maxHeadLines)
--- a/internal/upstream/headlines_test.go
+++ b/internal/upstream/headlines_test.go
@@ -14,31 +14,22 @@
 	"ashshunt/internal/protocol"
 )
 
-// bodyReserver records the memory that is reserved for bodies.
-type bodyReserver struct{ reserved int }
-
-func (r *bodyReserver) reserve(size int) error {
-	r.reserved += size
-	return nil
-}
-
-// readResponseText reads the head and the body of a response, and what follows it.
-func readResponseText(text string) (head responseHead, body []byte, rest string, err error) {
+// readResponseText reads a response and returns its body and what follows it.
+func readResponseText(text string) (body []byte, rest string, err error) {
 	in := bufio.NewReader(strings.NewReader(text))
-	head, err = readHead(in)
+	head, err := readHead(in)
 	if err != nil {
-		return head, nil, "", err
+		return nil, "", err
 	}
 	framing, err := head.parseFraming()
 	if err != nil {
-		return head, nil, "", err
+		return nil, "", err
 	}
-	var reserver bodyReserver
-	if body, err = framing.readBody(in, reserver.reserve); err != nil {
-		return head, nil, "", err
+	if body, err = framing.readBody(in, func(int) error { return nil }); err != nil {
+		return nil, "", err
 	}
 	left, err := io.ReadAll(in)
-	return head, body, string(left), err
+	return body, string(left), err
 }
 
 // Heads and trailers of many short fields cost many times their length once they are parsed, so they are rejected.
@@ -61,7 +52,7 @@
 		{"trailers", chunked + fields(10) + "\r\n", true},
 		{"too many trailers", chunked + fields(maxHeadLines+1) + "\r\n", false},
 	} {
-		_, body, rest, err := readResponseText(test.text + "rest")
+		body, rest, err := readResponseText(test.text + "rest")
 		if !test.want {
 			if err == nil {
 				t.Errorf("%s: got a response, want an error", test.name)
@@ -80,15 +71,15 @@
 	chunk := func(size int) string { return fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size)) }
 	const last = "0\r\n\r\n"
 	for _, size := range []int{1, unreservedBodySize, unreservedBodySize + 1, protocol.MaxBodySize} {
-		_, body, _, err := readResponseText(head + chunk(size) + last)
+		body, _, err := readResponseText(head + chunk(size) + last)
 		if err != nil || len(body) != size || cap(body) > size+unreservedBodySize {
 			t.Errorf("%d bytes: got %d, a capacity of %d and error %v", size, len(body), cap(body), err)
 		}
-		if _, _, _, err = readResponseText(head + chunk(size)); !errors.Is(err, io.ErrUnexpectedEOF) {
+		if _, _, err = readResponseText(head + chunk(size)); !errors.Is(err, io.ErrUnexpectedEOF) {
 			t.Errorf("%d bytes without the last chunk: got error %v, want an unexpected end", size, err)
 		}
 	}
-	if _, _, _, err := readResponseText(head + chunk(protocol.MaxBodySize+1) + last); err == nil {
+	if _, _, err := readResponseText(head + chunk(protocol.MaxBodySize+1) + last); err == nil {
 		t.Error("got a body over the limit, want an error")
 	}
 }
