Pause between the requests of a client that does not wait for responses

By a CPU profile all of the agent's share went into these requests, and as some goroutine could always run, the Go scheduler looked at the network only every 10 ms: a request of another client waited for that at each of its steps. Their deadline guards also made the loop step without a tick between.

Change: a client may send 16 requests in a row without waiting for a response; from then on there is a pause of 10 ms before each, so that the CPU is idle at times.

--- a/internal/frontend/connectionstate.go
+++ b/internal/frontend/connectionstate.go
@@ -49,6 +49,7 @@
 	hadRequest         bool            // a request has started on the connection
 	nextRequestStarted bool            // bytes of the next request were read while a request was being served
 	request            requestProgress // progress of the request that is being read
+	pipelined          int             // requests in a row that had started before the response to the previous one
 
 	hasResponse      bool          // a response to the current request has started
 	requestID        string        // ID of the current request; empty: not known
@@ -110,6 +111,13 @@
 	}
 }
 
+// isPipelining reports whether the client has not waited for responses for more than maxPipelined requests in a row.
+func (c *connection) isPipelining() bool {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.state.pipelined > maxPipelined
+}
+
 // arrivalTimes returns the times at which the head and the body of the current request had arrived, and whether the
 // request has waited for memory since. The times are zero if they are not known. That of the head is not if it was read
 // together with the previous request.
@@ -365,9 +373,13 @@
 func (c *connection) enterIdleOrReading() {
 	switch {
 	case c.state.isFinished() || c.table.idle.contains(c):
-	case c.state.nextRequestStarted || c.scanner.hasNextRequest():
+	case c.scanner.hasNextRequest():
+		c.state.pipelined++
+		c.enterReading()
+	case c.state.nextRequestStarted:
 		c.enterReading()
 	default:
+		c.state.pipelined = 0
 		c.enterIdle()
 	}
 }
--- a/internal/frontend/ends_test.go
+++ b/internal/frontend/ends_test.go
@@ -259,3 +259,24 @@
 	delay.recordLength(at(300), 0)
 	expect(400, 0)
 }
+
+// Requests that a client sends without waiting for responses are all answered, those beyond a burst after pauses.
+func TestPipelinedRequestsArePaced(t *testing.T) {
+	t.Parallel()
+	const count = maxPipelined + 5
+	server, _ := startServer(t, testutil.Config(t, "127.0.0.1:1"), echo, nil)
+	var text strings.Builder
+	for i := range count {
+		text.WriteString(testutil.RawGet(testutil.NthID(i)))
+	}
+	start := time.Now()
+	in := bufio.NewReader(testutil.Dial(t, server.Addr(), text.String()))
+	for i := range count {
+		if status := testutil.ReadResponse(t, in).StatusCode; status != http.StatusOK {
+			t.Fatalf("request %d: got status %d, want 200", i, status)
+		}
+	}
+	if took, least := time.Since(start), (count-maxPipelined-1)*pipelinedPause; took < least {
+		t.Errorf("got all responses within %v, want at least %v", took, least)
+	}
+}
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"net/http"
@@ -23,6 +24,14 @@
 // part of it before the write.
 const minResponseWriteTimeout = 500 * time.Millisecond
 
+const (
+	// maxPipelined is the number of requests that a client may send in a row without waiting for responses, and without
+	// a pause between them.
+	maxPipelined = 16
+	// pipelinedPause is the pause before each further one.
+	pipelinedPause = 10 * time.Millisecond
+)
+
 // The reasons, besides a malformed request, why a request gets no response from the event loop.
 var (
 	// errDisconnected: the client has closed its connection.
@@ -81,6 +90,9 @@
 		h.serveHealth(w)
 		return
 	}
+	if conn.isPipelining() {
+		pauseRequest(r.Context())
+	}
 	memory := conn.takeRequestMemory()
 	defer memory.Release()
 	response, err := h.handleRequest(r, memory)
@@ -95,6 +107,17 @@
 	writeResponse(w, response)
 }
 
+// pauseRequest delays a request of a client that sends requests without waiting for responses. Otherwise few such clients
+// use up the CPU, and the requests of others, which need the network several times, wait for it each time.
+func pauseRequest(ctx context.Context) {
+	timer := time.NewTimer(pipelinedPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // handleRequest reads a request, submits it to the event loop and returns the loop's response. memory is held by the
 // caller until the response is written, and by the loop until the request and its attempts are finished.
 func (h *handler) handleRequest(r *http.Request, memory *membudget.Reservation) (Response, error) {
