Accept what waits in the queue before a shutdown closes the listener

The close of a listener resets the connections in its accept queue. If slots were short at that time, requests that were written whole were reset with them: half a second after SIGTERM, by reading (admission.go, StopAccepting).

Change: the connections in the queue are accepted first, within 100 ms; an eighth of them may exceed the limit, with descriptors that are reserved for other purposes. They are answered like others, with a 503 at the shutdown deadline.

TestQueuedRequestIsAnsweredInShutdown failed before: the request never came.

--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// StopAccepting closes the inner listener.
-func (l *admissionListener) StopAccepting() error { return l.inner.Close() }
+// StopAccepting closes the inner listener when the connections in its accept queue are accepted.
+func (l *admissionListener) StopAccepting() error { return l.inner.drain() }
 
 // Close implements net.Listener. It may be called more than once.
 func (l *admissionListener) Close() error {
--- a/internal/frontend/ends_test.go
+++ b/internal/frontend/ends_test.go
@@ -280,3 +280,26 @@
 		t.Errorf("got all responses within %v, want at least %v", took, least)
 	}
 }
+
+// A request that waits in the accept queue when the listener closes gets its answer.
+func TestQueuedRequestIsAnsweredInShutdown(t *testing.T) {
+	t.Parallel()
+	config := testutil.Config(t, "127.0.0.1:1")
+	config.MaxDescriptors = 2 // 1 for clients
+	submitted := make(chan *Request, 2)
+	server, _ := startServer(t, config, func(r *Request) { submitted <- r }, reclaimImmediately)
+	first := testutil.Dial(t, server.Addr(), testutil.RawPost(id, ""))
+	request := testutil.Receive(t, submitted)
+	second := testutil.Dial(t, server.Addr(), testutil.RawPost(otherID, ""))
+	testutil.WaitFor(t, "the second connection", func() bool {
+		return socket.PendingCount(server.listener.inner.Listener) == 1
+	})
+	server.StopAccepting()
+	echo(request)
+	echo(testutil.Receive(t, submitted))
+	for _, client := range []net.Conn{first, second} {
+		if status := testutil.ReadStatus(t, client); status != http.StatusOK {
+			t.Errorf("got status %d, want 200", status)
+		}
+	}
+}
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -18,6 +18,8 @@
 	maxAcceptBackoff = 50 * time.Millisecond
 	// pendingPollInterval is the interval at which the accept queue is examined while no slot is free.
 	pendingPollInterval = 2 * time.Millisecond
+	// drainTimeout bounds the time for which connections are still accepted before the listener is closed.
+	drainTimeout = 100 * time.Millisecond
 	// acceptBackoffFactor is the growth of the wait with each consecutive failure.
 	acceptBackoffFactor = 2
 )
@@ -30,6 +32,8 @@
 
 	closed    chan struct{} // closed by Close
 	closeOnce sync.Once
+	draining  chan struct{} // closed by drain
+	drainOnce sync.Once
 
 	// backlogSince is the time since which connections have waited in the accept queue for a slot; zero: none does. It
 	// is used only by the goroutine that accepts connections.
@@ -39,7 +43,13 @@
 }
 
 func newConnectionListener(l net.Listener, table *connectionTable, log *slog.Logger) *connectionListener {
-	return &connectionListener{Listener: l, table: table, log: log, closed: make(chan struct{})}
+	return &connectionListener{
+		Listener: l,
+		table:    table,
+		log:      log,
+		closed:   make(chan struct{}),
+		draining: make(chan struct{}),
+	}
 }
 
 // accept accepts the next connection. It blocks while the limit allows no further connection. Clients that connect in
@@ -48,6 +58,10 @@
 	if err := l.waitForSlot(); err != nil {
 		return nil, err
 	}
+	if l.isDrained() {
+		_ = l.Close() // the descriptor is released even if this returns an error
+		return nil, net.ErrClosed
+	}
 	if !l.backlogSince.IsZero() {
 		l.updateBacklog()
 	}
@@ -70,10 +84,11 @@
 	}
 }
 
-// waitForSlot blocks until the limit allows one more connection. While another client waits for a slot, those
-// that are silent or have stalled within a request give way. It returns net.ErrClosed if the listener is closed.
+// waitForSlot blocks until the limit allows one more connection, or one may exceed it. While another client waits for a
+// slot, those that are silent or have stalled within a request give way. It returns net.ErrClosed if the listener is
+// closed.
 func (l *connectionListener) waitForSlot() error {
-	for {
+	for !l.isDraining() || !l.table.mayExceedLimit() {
 		now := time.Now()
 		waited := l.queueDelay.current(now)
 		wait, ok := l.table.ensureSlot(now, waited)
@@ -92,6 +107,32 @@
 			return net.ErrClosed
 		}
 	}
+	return nil
+}
+
+// drain accepts the connections in the accept queue, which the close would reset, and then closes the listener. A part
+// of them may exceed the limit. It blocks until the listener is closed, for drainTimeout at most.
+func (l *connectionListener) drain() error {
+	l.drainOnce.Do(func() { close(l.draining) })
+	if l.isDrained() {
+		return l.Close()
+	}
+	l.sleep(drainTimeout, nil)
+	return l.Close()
+}
+
+func (l *connectionListener) isDraining() bool {
+	select {
+	case <-l.draining:
+		return true
+	default:
+		return false
+	}
+}
+
+// isDrained reports whether the listener drains and its accept queue is empty.
+func (l *connectionListener) isDrained() bool {
+	return l.isDraining() && socket.PendingCount(l.Listener) == 0
 }
 
 // acceptWithRetry accepts the next connection, and retries until the listener is closed. Many causes of a failed accept
--- a/internal/frontend/reclaim.go
+++ b/internal/frontend/reclaim.go
@@ -14,6 +14,9 @@
 	memoryReclaimInterval = 5 * time.Millisecond
 	// maxEndingDivisor is the inverse of the share of connections that may be about to be closed for others at a time.
 	maxEndingDivisor = 4
+	// maxExcessDivisor is the inverse of the share of connections by which the limit may be exceeded when the listener
+	// closes. They use descriptors that are reserved for other purposes.
+	maxExcessDivisor = 8
 	// maxEvictionCandidates bounds the number of sockets that are examined to find one connection to evict.
 	maxEvictionCandidates = 16
 )
@@ -68,6 +71,14 @@
 	return silent != nil
 }
 
+// mayExceedLimit reports whether one more connection may be open than the limit allows, or if it does allow it, for
+// connections that would be reset otherwise.
+func (t *connectionTable) mayExceedLimit() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.maxOpen == 0 || t.open < t.maxOpen+t.maxOpen/maxExcessDivisor+1
+}
+
 // endingCount returns the number of connections that are about to be closed.
 func (t *connectionTable) endingCount() int {
 	t.mu.Lock()
