Write rejections at once and without a deadline

The 503 of an eviction had 5 ms for its write until, the answers to other incomplete requests had 500 ms, counted from before the write. Not reproduced as such.

Change: a rejection is one send call of some 70 bytes that does not block, whatever the deadline. TestRejectionHasNoWriteDeadline fails where the deadline applies.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -15,8 +15,6 @@
 	// minReadTimeout is the minimum time that the first request of a connection gets after its first byte, even if that
 	// byte arrives late.
 	minReadTimeout = 300 * time.Millisecond
-	// incompleteWriteTimeout bounds the write of the response to an incomplete request.
-	incompleteWriteTimeout = 500 * time.Millisecond
 )
 
 // continueStatusPrefix starts an interim response, which net/http writes while it is still reading a request.
@@ -158,12 +156,11 @@
 }
 
 // writeRejection responds to a request that was rejected before it was complete, and closes the sending side. It then
-// ends a read in which net/http waits for the rest of the request. Errors are ignored: they mean that the client has
-// disconnected.
+// ends a read in which net/http waits for the rest of the request. The write neither blocks nor has a deadline: the
+// accept loop may wait for it, and the agent may be held up before it.
 func (c *connection) writeRejection(status int, reason closeReason) {
 	c.table.logRejection(c, status, reason)
-	_ = c.SetWriteDeadline(time.Now().Add(incompleteWriteTimeout))
-	_, _ = c.Conn.Write(rejectionText(status))
+	socket.WriteNow(c.Conn, rejectionText(status))
 	c.endRejection()
 }
 
@@ -201,12 +198,10 @@
 }
 
 // evict responds to the request of a client that has stalled, after takeStalled, and releases its memory. Whoever reads
-// the connection closes it then. The write does not block, since the accept loop waits for it.
+// the connection closes it then.
 func (c *connection) evict(reason closeReason) {
 	c.releaseMemory()
-	c.table.logRejection(c, http.StatusServiceUnavailable, reason)
-	socket.WriteNow(c.Conn, rejectionText(http.StatusServiceUnavailable))
-	c.endRejection()
+	c.writeRejection(http.StatusServiceUnavailable, reason)
 }
 
 // closeIdle closes a connection in phaseClosing that was idle. An error is ignored, since the descriptor is released
--- a/internal/frontend/ends_test.go
+++ b/internal/frontend/ends_test.go
@@ -136,6 +136,23 @@
 	expectAnswerWithoutReset(t, client, http.StatusServiceUnavailable)
 }
 
+// A rejection must reach its client although the agent was held up for so long that a write deadline has passed.
+func TestRejectionHasNoWriteDeadline(t *testing.T) {
+	t.Parallel()
+	_, c, client, _ := newTestTable(t)
+	receiveBytes(t, c, client, "GET / HTTP")
+	if err := c.handleReadable(); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetWriteDeadline(time.Now().Add(-time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	c.rejectCurrent()
+	c.writeRejection(http.StatusServiceUnavailable, closeStalledForSlot)
+	_ = c.Close() // an error does not affect the test
+	expectAnswerWithoutReset(t, client, http.StatusServiceUnavailable)
+}
+
 // A client has stalled only while the agent waits for its bytes.
 func TestOnlyAwaitedClientsAreEvicted(t *testing.T) {
 	t.Parallel()
--- a/internal/frontend/linger.go
+++ b/internal/frontend/linger.go
@@ -33,7 +33,7 @@
 // the connection is closed regardless.
 func (c *connection) lingerAndClose() {
 	if written := c.rejection(); written != nil {
-		<-written // bounded by the write deadline
+		<-written // whoever has rejected the request writes at once
 	}
 	socket.CloseWrite(c.Conn)
 	c.table.startLinger(c) // from now on the table may close the connection
