Keep the full patience with stalled clients until others have waited for 390 ms

A crowd of 600 clients that write in pieces, at 512 slots and 32 MB, waits for some 350 ms on its own.

Change: the patience is four times what is left of 450 ms, within 50 and 250 ms.

--- a/internal/frontend/reclaim.go
+++ b/internal/frontend/reclaim.go
@@ -12,6 +12,8 @@
 	minSlotRetryInterval = time.Millisecond
 	// memoryReclaimInterval is the time between two attempts to free memory while requests wait for it.
 	memoryReclaimInterval = 5 * time.Millisecond
+	// patiencePerWaitLeft is the patience with stalled clients as a multiple of the rest of ReclaimWait.
+	patiencePerWaitLeft = 4
 	// maxEndingDivisor is the inverse of the share of connections that may be about to be closed for others at a time.
 	maxEndingDivisor = 4
 	// maxExcessDivisor is the inverse of the share of connections by which the limit may be exceeded when the listener
@@ -21,10 +23,11 @@
 	maxEvictionCandidates = 16
 )
 
-// stallPatience returns how long a client may make no progress while it holds what another one has waited for. The
-// longer the other one has waited, the shorter it is: clients may pause, and the one that waits must be served in time.
+// stallPatience returns how long a client may make no progress while it holds what another one has waited for. It
+// decreases as that wait comes near ReclaimWait: clients may pause, but the one that waits must be served in time.
 func (t *Timeouts) stallPatience(waited time.Duration) time.Duration {
-	return min(max(t.ReclaimWait-waited, t.MinReclaimStalled), t.ReclaimStalled)
+	left := t.ReclaimWait - waited
+	return min(max(patiencePerWaitLeft*left, t.MinReclaimStalled), t.ReclaimStalled)
 }
 
 // ensureSlot ensures that one more connection may be opened, for which a client has waited for the given time. If
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -29,7 +29,7 @@
 	defaultIdleTimeout                  = defaultReclaimIdleTimeout + 100*time.Millisecond
 	defaultReclaimStalledTimeout        = 250 * time.Millisecond
 	defaultMinReclaimStalledTimeout     = 50 * time.Millisecond
-	defaultReclaimWaitTimeout           = 500 * time.Millisecond
+	defaultReclaimWaitTimeout           = 450 * time.Millisecond
 	defaultReclaimSilentTimeout         = 50 * time.Millisecond
 	defaultReclaimIdleHandlerTimeout    = 50 * time.Millisecond
 	defaultMemoryWaitTimeout            = 300 * time.Millisecond
@@ -59,8 +59,8 @@
 	ReclaimUnused time.Duration
 	// ReclaimStalled is how long a client must have made no progress with its request before it may be evicted to free
 	// its descriptor or memory for another client. Likewise a connection with a rejected request, or with a response to
-	// a request that is not complete, stays open for that long. If the other client has waited, both are reduced to the
-	// rest of ReclaimWait, but not below MinReclaimStalled.
+	// a request that is not complete, stays open for that long. If the other client has waited for almost ReclaimWait,
+	// both are reduced, but not below MinReclaimStalled.
 	ReclaimStalled, MinReclaimStalled time.Duration
 	// ReclaimWait is how long another client should wait for a descriptor or memory at most.
 	ReclaimWait time.Duration
