--- a/cmd/ashshunt/main.go
+++ b/cmd/ashshunt/main.go
@@ -44,14 +44,6 @@
 // maxProcs is the number of cores that the agent uses at a time. An agent has a single core, possibly a shared one.
 const maxProcs = 1
 
-// The heap limit is five eighths of the memory of the process; the remainder is for the program itself. memory_mb is in
-// MiB.
-const (
-	bytesPerMiB             = 1 << 20
-	heapFractionDenominator = 8
-	heapFractionNumerator   = 5
-)
-
 func main() {
 	logWriter := telemetry.NewWriter(os.Stderr)
 	err := run(logWriter)
@@ -84,7 +76,7 @@
 	if err != nil {
 		return fmt.Errorf("load configuration: %w", err)
 	}
-	setMemoryLimits(c.MaxMemoryMB)
+	setMemoryLimits(c.HeapLimit())
 	log = log.With("agent", c.Name)
 	a, err := agent.New(c, log)
 	if err != nil {
@@ -106,12 +98,11 @@
 	return stopCtx, stopSignals, hangups
 }
 
-// setMemoryLimits sets the garbage collector's target and the heap limit for a memory limit of the process in MiB. 0
-// means no limit.
-func setMemoryLimits(memoryMB int) {
+// setMemoryLimits sets the garbage collector's target and the heap limit in bytes; 0: no limit.
+func setMemoryLimits(heapLimit int64) {
 	debug.SetGCPercent(gcPercent)
-	if memoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryMB) * bytesPerMiB * heapFractionNumerator / heapFractionDenominator)
+	if heapLimit > 0 {
+		debug.SetMemoryLimit(heapLimit)
 	}
 }
 
--- a/cmd/ashshunt/pieces_test.go
+++ b/cmd/ashshunt/pieces_test.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -42,14 +40,13 @@
 // written the whole request, and then reads to the end of the connection if the answer announces that. It counts a
 // reset as a loss even if it has read the answer before: on a network the reset can overtake it.
 type pieceClient struct {
+	clientConnection
 	run      *hostileRun
 	rng      *lockedRand
 	outcomes *clientOutcomes
 	bodySize int
 	maxPause time.Duration
-	conn     *net.TCPConn // nil: none is open
-	in       *bufio.Reader
-	requests int // requests on conn
+	requests int // requests on the connection
 }
 
 func (c *pieceClient) sendUntilStopped() {
@@ -73,9 +70,13 @@
 
 // exchange sends a request and reads the response, on a new connection if none is open.
 func (c *pieceClient) exchange(id string) clientOutcome {
-	if err := c.connect(); err != nil {
+	isNew, err := c.connect(c.run.addr, time.Now().Add(c.maxPause+pieceTimeout+answerSlack))
+	if err != nil {
 		return clientOutcome(err.Error())
 	}
+	if isNew {
+		c.requests = 0
+	}
 	c.requests++
 	writeErr := c.writeInPieces(id)
 	response, err := http.ReadResponse(c.in, nil)
@@ -132,28 +133,6 @@
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-func (c *pieceClient) connect() error {
-	if c.conn == nil {
-		conn, err := net.DialTimeout("tcp", c.run.addr, pieceTimeout)
-		if err != nil {
-			return err
-		}
-		tcp, ok := conn.(*net.TCPConn)
-		if !ok {
-			return fmt.Errorf("got a connection of type %T, want TCP", conn)
-		}
-		c.conn, c.in, c.requests = tcp, bufio.NewReader(conn), 0
-	}
-	return c.conn.SetDeadline(time.Now().Add(c.maxPause + pieceTimeout + answerSlack))
-}
-
-func (c *pieceClient) close() {
-	if c.conn != nil {
-		_ = c.conn.Close() // an error means that it is closed
-		c.conn = nil
-	}
-}
-
 // A request that the agent has read from must get an answer, and its connection must not be reset behind it, while a
 // crowd of clients writes in pieces. No client is hostile, so that nine in ten requests are served.
 func TestRequestsInPiecesAreAnswered(t *testing.T) {
--- a/cmd/ashshunt/wellbehaved_client_test.go
+++ b/cmd/ashshunt/wellbehaved_client_test.go
@@ -90,10 +90,35 @@
 
 // wellBehavedClient sends one request at a time, on one connection for as long as the agent keeps it open.
 type wellBehavedClient struct {
+	clientConnection
 	run      *hostileRun
 	outcomes *clientOutcomes
-	conn     net.Conn // nil: none is open
-	in       *bufio.Reader
+}
+
+// clientConnection is the connection of a client that sends one request at a time.
+type clientConnection struct {
+	conn net.Conn // nil: none is open
+	in   *bufio.Reader
+}
+
+// connect opens a connection to the agent unless one is open, and sets its deadline. It reports whether the connection
+// is new.
+func (c *clientConnection) connect(addr string, deadline time.Time) (isNew bool, err error) {
+	if c.conn == nil {
+		conn, err := net.DialTimeout("tcp", addr, time.Until(deadline))
+		if err != nil {
+			return false, err
+		}
+		c.conn, c.in, isNew = conn, bufio.NewReader(conn), true
+	}
+	return isNew, c.conn.SetDeadline(deadline)
+}
+
+func (c *clientConnection) close() {
+	if c.conn != nil {
+		_ = c.conn.Close() // an error means that it is closed
+		c.conn = nil
+	}
 }
 
 // sendUntilStopped sends requests until the run is stopped.
@@ -132,7 +157,7 @@
 
 // exchange sends a request and reads the response, on a new connection if none is open.
 func (c *wellBehavedClient) exchange(text, id string, deadline time.Time) (clientOutcome, error) {
-	if err := c.connect(deadline); err != nil {
+	if _, err := c.connect(c.run.addr, deadline); err != nil {
 		return "", err
 	}
 	if _, err := io.WriteString(c.conn, text); err != nil {
@@ -158,22 +183,3 @@
 	}
 	return clientOutcome(fmt.Sprint(outcomeFailed, " ", response.StatusCode)), nil
 }
-
-// connect opens a connection unless one is open, and sets its deadline.
-func (c *wellBehavedClient) connect(deadline time.Time) error {
-	if c.conn == nil {
-		conn, err := net.DialTimeout("tcp", c.run.addr, time.Until(deadline))
-		if err != nil {
-			return err
-		}
-		c.conn, c.in = conn, bufio.NewReader(conn)
-	}
-	return c.conn.SetDeadline(deadline)
-}
-
-func (c *wellBehavedClient) close() {
-	if c.conn != nil {
-		_ = c.conn.Close() // an error means that it is closed
-		c.conn = nil
-	}
-}
--- a/internal/agent/deadlineguard.go
+++ b/internal/agent/deadlineguard.go
@@ -81,10 +81,12 @@
 	if r.isFinished() {
 		return
 	}
+	now := l.clock.Now()
 	expected := l.isShuttingDown() || r.inbound.Event.Timeout <= attemptMargin
 	if !expected {
 		l.log.Error(telemetry.MsgNoFinalAnswer, telemetry.Request(r.id()),
-			telemetry.Attempts(r.attemptCount()), "in_flight", r.inFlight)
+			telemetry.Attempts(r.attemptCount()), "in_flight", r.inFlight, "age", now-r.inbound.ArrivedAt,
+			"late", now-r.inbound.Deadline+guardMargin)
 	}
 	status := http.StatusBadGateway
 	if expected && r.attemptCount() == 0 {
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -56,6 +56,17 @@
 	budgetPartsTotal = 16
 )
 
+// The heap limit is five eighths of the memory of the process; the remainder is for the program itself.
+const (
+	heapParts      = 5
+	heapPartsTotal = 8
+)
+
+// HeapLimit returns the limit of the Go heap in bytes; 0: no limit.
+func (c *Config) HeapLimit() int64 {
+	return int64(c.MaxMemoryMB) * bytesPerMiB * heapParts / heapPartsTotal
+}
+
 // MemoryMB returns the memory of the process in MiB: its limit, or defaultMemoryMB if there is none.
 func (c *Config) MemoryMB() int {
 	if c.MaxMemoryMB == 0 {
