Keep the order of bytes in the soak's network to discovery

The proxy delayed all but the first byte of the first list by 24 ms and sent the second one in between, so that the agent read a chunk size of 9a5 and waited for 2,469 bytes until its watch timed out, 2.2 s after the notice. TCP never reorders bytes.

Change: what a proxy receives waits until the segments before it are sent. The check and its bound stay. TestFaultProxyKeepsOrder failed before: acebdf for abcdef.

--- a/internal/testutil/faultproxy.go
+++ b/internal/testutil/faultproxy.go
@@ -40,7 +40,8 @@
 	// OnResponse returns the segments to send for a complete response of the server. Without it, bytes are forwarded as
 	// they arrive.
 	OnResponse func(response []byte) []Segment
-	// OnData returns the segments to send for bytes of the server, as they arrive. It is not used with OnResponse.
+	// OnData returns the segments to send for bytes of the server, as they arrive. Later bytes wait until all segments
+	// are sent, since TCP keeps the order of bytes. It is not used with OnResponse.
 	OnData func(data []byte) []Segment
 	// OnRequestData returns the parts in which bytes from the client are written to the server.
 	OnRequestData func(data []byte) [][]byte
@@ -132,6 +133,9 @@
 		if len(data) > 0 {
 			toClient.addAll(time.Now().Add(p.latency), p.responseSegments(data))
 		}
+		if p.faults.OnResponse == nil && p.faults.OnData != nil {
+			toClient.waitUntilSent()
+		}
 		if err != nil {
 			toClient.waitUntilSent()
 			toClient.add(time.Now(), Segment{End: endOf(err)})
