Estimate the accept queue by the slots where the system does not tell its length

Where TCP_INFO does not give the length of the accept queue its delay was measured without an end, so that a crowd met the shortest patience with stalled clients after half a second. Rejections use the same system call as other writes of Go now.

--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -77,7 +77,7 @@
 
 // updateBacklog ends the backlog if the accept queue is empty.
 func (l *connectionListener) updateBacklog() {
-	pending := socket.PendingCount(l.Listener)
+	pending := l.pendingCount()
 	l.queueDelay.recordLength(time.Now(), pending)
 	if pending == 0 {
 		l.backlogSince = time.Time{}
@@ -95,7 +95,7 @@
 		if ok {
 			return nil
 		}
-		pending := socket.PendingCount(l.Listener)
+		pending := l.pendingCount()
 		l.queueDelay.recordLength(now, pending)
 		if l.backlogSince.IsZero() {
 			l.backlogSince = now
@@ -132,7 +132,17 @@
 
 // isDrained reports whether the listener drains and its accept queue is empty.
 func (l *connectionListener) isDrained() bool {
-	return l.isDraining() && socket.PendingCount(l.Listener) == 0
+	return l.isDraining() && l.pendingCount() == 0
+}
+
+// pendingCount returns the number of connections in the accept queue. If it is not known, it returns the number of
+// slots, so that the queue's delay is about that of a turn of all slots.
+func (l *connectionListener) pendingCount() int {
+	pending := socket.PendingCount(l.Listener)
+	if pending == socket.UnknownPending {
+		return max(1, l.table.maxOpen)
+	}
+	return pending
 }
 
 // acceptWithRetry accepts the next connection, and retries until the listener is closed. Many causes of a failed accept
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -77,9 +77,7 @@
 		return
 	}
 	_ = raw.Control(func(fd uintptr) { // fails on a closed connection
-		_, _ = retryTransient(func() (int, error) {
-			return unix.SendmsgN(int(fd), p, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
-		})
+		_, _ = retryTransient(func() (int, error) { return unix.Write(int(fd), p) }) // sockets of net do not block
 	})
 }
 
--- a/internal/socket/queue_test.go
+++ b/internal/socket/queue_test.go
@@ -105,7 +105,7 @@
 			t.Errorf("got %d pending connections, want %d", n, left)
 		}
 	}
-	if n := socket.PendingCount(struct{ net.Listener }{listener}); n == 0 {
-		t.Error("got no pending connection where that is unknown")
+	if n := socket.PendingCount(struct{ net.Listener }{listener}); n != socket.UnknownPending {
+		t.Errorf("got %d pending connections where that is unknown", n)
 	}
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -141,15 +140,14 @@
 	return isBroken
 }
 
-// unknownPending is the result of PendingCount if the number is unknown. No queue is as long.
-const unknownPending = math.MaxInt32
+// UnknownPending is the result of PendingCount if the number is unknown and not 0, or if the system can't tell.
+const UnknownPending = -1
 
-// PendingCount returns the number of connections in the accept queue of a listener, or unknownPending if it is not
-// known and there may be some.
+// PendingCount returns the number of connections in the accept queue of a listener, or UnknownPending.
 func PendingCount(listener net.Listener) int {
 	raw, err := rawConn(listener)
 	if err != nil {
-		return unknownPending
+		return UnknownPending
 	}
 	isPending := true
 	controlErr := raw.Control(func(fd uintptr) {
@@ -162,7 +160,7 @@
 	}
 	info, err := tcpInfo(listener)
 	if err != nil || info.Unacked == 0 {
-		return unknownPending
+		return UnknownPending
 	}
 	return int(info.Unacked) // of a listener: the length of the accept queue
 }
