Count the end of a shutdown from its start

The wait for the queue of the listener, and a hold-up of the agent before, came on top of the time until the incomplete requests are rejected, by up to 100 ms for the first: the kill may come 150 ms after that. The deadline is fixed when the shutdown starts, as that of the event loop is.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -94,6 +94,7 @@
 // connection that has had a request is closed while its client can still open a new one.
 func (a *Agent) shutDownGracefully(ctx context.Context, served <-chan error) error {
 	a.log.Info(telemetry.MsgShuttingDown)
+	deadline := time.Now().Add(shutdownTimeout(a.loop.settings))
 	a.frontend.StartShutdown()
 	a.loop.post(shutdownStarted{})
 	// The listener must still be open here: a client whose request crosses the close can resend it on a new connection.
@@ -107,9 +108,9 @@
 	// http.Server.Shutdown is not usable here: it treats a connection as idle until the complete head of a request is
 	// read, and would close the connection during the request.
 	a.frontend.CloseAllIdle()
-	a.waitForDisconnects(ctx, shutdownTimeout(a.loop.settings)-a.acceptDuration)
+	a.waitForDisconnects(ctx, deadline)
 	a.frontend.RejectIncomplete()
-	a.waitForDisconnects(ctx, finalWriteTimeout)
+	a.waitForDisconnects(ctx, time.Now().Add(finalWriteTimeout))
 	a.logStopped()
 	_ = a.frontend.Close() // all requests are answered, so that an error can be ignored
 	return nil
@@ -128,9 +129,9 @@
 		"unrequested_bytes", totals.UnrequestedBytes)
 }
 
-// waitForDisconnects blocks until no client connection is open, or until the timeout.
-func (a *Agent) waitForDisconnects(ctx context.Context, timeout time.Duration) {
-	waitCtx, cancel := context.WithTimeout(ctx, timeout)
+// waitForDisconnects blocks until no client connection is open, or until the deadline.
+func (a *Agent) waitForDisconnects(ctx context.Context, deadline time.Time) {
+	waitCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	a.frontend.WaitForAllClosed(waitCtx)
 }
