Count no unanswered request where a client closes between two requests

The end of a connection is readable like a byte, so that a close by the client of an idle connection starts a request of no bytes. It was logged and counted as a client that left before its response. TestCloseBetweenRequestsIsNotLogged failed before.

--- a/internal/frontend/connectionstate.go
+++ b/internal/frontend/connectionstate.go
@@ -327,6 +327,9 @@
 	if previous != phaseReading && previous != phaseServing || c.state.hasResponse {
 		return unansweredRequest{}, false
 	}
+	if c.state.request.readBytes == 0 && c.state.requestID == "" { // the client has closed an idle connection
+		return unansweredRequest{}, false
+	}
 	return unansweredRequest{
 		id:        c.state.requestID,
 		err:       c.state.requestErr,
--- a/internal/frontend/ends_test.go
+++ b/internal/frontend/ends_test.go
@@ -234,6 +234,21 @@
 	}
 }
 
+// A client that closes its connection between two requests leaves no request unanswered.
+func TestCloseBetweenRequestsIsNotLogged(t *testing.T) {
+	t.Parallel()
+	table, c, client, log := newTestTable(t)
+	_ = client.Close() // an error does not affect the test
+	if n, err := c.Read(make([]byte, 10)); n != 0 || err == nil {
+		t.Fatalf("got %d bytes and error %v, want the end of the connection", n, err)
+	}
+	_ = c.Close() // an error does not affect the test
+	table.ends.logTotals()
+	if log.Contains("client left") || !log.Contains("unanswered=[]") {
+		t.Errorf("got the log %s, want no unanswered request", log)
+	}
+}
+
 // The longer a client has waited for a slot, the sooner a stalled one gives way.
 func TestStallPatience(t *testing.T) {
 	timeouts := DefaultTimeouts()
