Limit the sum of a request's waits for memory, not each wait

Change: the waits of a request have one limit, 0.6 of its timeout within 300 and 900 ms. Fields of a head are converted to strings only where they matter. TestMemoryWaitsAreAddedUp fails where each wait has the whole limit.

--- a/internal/frontend/connectionstate.go
+++ b/internal/frontend/connectionstate.go
@@ -139,10 +139,13 @@
 func (c *connection) setWaiting(isWaiting bool) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
+	now := time.Now()
 	c.state.request.hasWaited = true
 	if isWaiting {
-		c.table.waiting.add(c, time.Now())
+		c.state.request.waitingSince = now
+		c.table.waiting.add(c, now)
 	} else {
+		c.state.request.waitedFor += now.Sub(c.state.request.waitingSince)
 		c.table.waiting.remove(c)
 	}
 }
--- a/internal/frontend/headreader.go
+++ b/internal/frontend/headreader.go
@@ -161,22 +161,22 @@
 			break
 		}
 		name, value, _ := bytes.Cut(line, []byte{':'})
-		fields.set(name, string(bytes.TrimSpace(value)))
+		fields.set(name, bytes.TrimSpace(value))
 	}
 	return fields
 }
 
 // set sets the field of a line, if it has one.
-func (f *headFields) set(name []byte, value string) {
+func (f *headFields) set(name, value []byte) {
 	switch {
 	case bytes.EqualFold(name, []byte("Content-Length")):
-		if length, err := strconv.ParseUint(value, decimalBase, contentLengthBits); err == nil {
+		if length, err := strconv.ParseUint(string(value), decimalBase, contentLengthBits); err == nil {
 			f.bodyLength = min(int64(length), protocol.MaxBodySize)
 		}
 	case bytes.EqualFold(name, []byte("Expect")):
 		f.expectsContinue = true
 	case bytes.EqualFold(name, []byte(protocol.HeaderTimeout)):
-		if milliseconds, err := strconv.ParseUint(value, decimalBase, timeoutBits); err == nil {
+		if milliseconds, err := strconv.ParseUint(string(value), decimalBase, timeoutBits); err == nil {
 			f.timeout = time.Duration(milliseconds) * time.Millisecond
 		}
 	}
--- a/internal/frontend/memory.go
+++ b/internal/frontend/memory.go
@@ -113,13 +113,14 @@
 	return memory.Grow(ctx, kind, bytes)
 }
 
-// memoryWait returns how long the current request waits for memory before it is rejected.
+// memoryWait returns how long the current request still waits for memory before it is rejected. The waits for several
+// kinds of memory have one limit, since the client waits for their sum.
 func (c *connection) memoryWait() time.Duration {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	timeouts := c.table.timeouts
 	wait := time.Duration(memoryWaitShare * float64(c.state.request.timeout))
-	return max(timeouts.MemoryWait, min(wait, timeouts.MaxMemoryWait))
+	return max(timeouts.MemoryWait, min(wait, timeouts.MaxMemoryWait)) - c.state.request.waitedFor
 }
 
 // reserveBody reserves memory for a body of the given length, unless enough of it is reserved.
--- a/internal/frontend/memory_test.go
+++ b/internal/frontend/memory_test.go
@@ -140,6 +140,31 @@
 	expectBalance(t, budget)
 }
 
+// The waits of a request for several kinds of memory have one limit.
+func TestMemoryWaitsAreAddedUp(t *testing.T) {
+	t.Parallel()
+	table, c, client, _ := newTestTable(t)
+	receiveBytes(t, c, client, "GET")
+	if err := c.handleReadable(); err != nil {
+		t.Fatal(err)
+	}
+	c.recordHead(time.Now(), true, time.Second)
+	first := c.memoryWait()
+	if want := 600 * time.Millisecond; first != want {
+		t.Errorf("got a wait of %v, want %v", first, want)
+	}
+	const waited = 20 * time.Millisecond
+	c.setWaiting(true)
+	time.Sleep(waited)
+	c.setWaiting(false)
+	if left := c.memoryWait(); left > first-waited {
+		t.Errorf("got a second wait of %v, want at most %v", left, first-waited)
+	}
+	if _, ok := table.memoryWaited(); ok {
+		t.Error("got a request that waits, want none")
+	}
+}
+
 // A client that stops within a long body gives up its memory to others.
 func TestStalledBodyIsEvictedForMemory(t *testing.T) {
 	t.Parallel()
--- a/internal/frontend/requestprogress.go
+++ b/internal/frontend/requestprogress.go
@@ -24,6 +24,8 @@
 	isQueued           bool          // the body waits in the socket, until it is complete
 	queuedBytes        int           // bytes in the socket when the client last made progress, if isQueued is set
 	isAwaited          bool          // the agent waits for bytes of the client
+	waitingSince       time.Time     // start of the wait for memory; zero: the request does not wait
+	waitedFor          time.Duration // sum of the waits for memory before
 	hasWaited          bool          // the request has waited for memory
 	bodyMemory         int64         // reserved bytes for the body
 }
