--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -16,7 +16,8 @@
 	server      *server
 	id, key     string
 	class       string
-	toldMs      int       // X-Budget-Ms
+	toldMs      int // X-Budget-Ms
+	bodyLength  int
 	began, came time.Time // times of its first and of its last byte
 }
 
@@ -173,11 +174,12 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.ReadAll(request.Body); err != nil {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
 			return
 		}
 		a := attempt{server: s, id: request.Header.Get("X-Call-Id"), key: request.Header.Get("Idempotency-Key"),
-			class: request.URL.Path, began: began, came: time.Now()}
+			class: request.URL.Path, bodyLength: len(body), began: began, came: time.Now()}
 		a.toldMs, _ = strconv.Atoi(request.Header.Get("X-Budget-Ms"))
 		if a.id == "" { // a probe
 			_, _ = fmt.Fprint(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
@@ -195,9 +197,9 @@
 		if do.runs {
 			s.ledger.run(a)
 		}
-		body := "done " + a.id
-		if _, err := fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", do.status, len(body),
-			body); err != nil {
+		text := "done " + a.id
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", do.status, len(text),
+			text); err != nil {
 			return
 		}
 	}
