Judge what follows a request whenever the answer depends on it

Cause: the bytes behind a request were looked at once, when it was complete. A later look was not possible either: a byte that net/http is reading ahead was for a moment neither in the socket nor in the scanner, so that the next bytes of a client that pipelines would have been taken for the first ones.

Change: connection.validateFollowing judges at any time. The scanner's lock is held from each read of the socket until its bytes are added (socket.ReadLocked), so that whoever holds it finds every byte. It is asked before the request is submitted, right before the first byte of each attempt (first, retry, hedge, after a dial), every 100 ms while the request is open, and before any response is written. The first three cost no system call more than before unless bytes follow; the last one costs one. The way in which the last byte of a body was held back for the look is gone. Request.IsClientGone became Request.Validate, whose error the attempt logs.

--- a/internal/agent/disconnect_test.go
+++ b/internal/agent/disconnect_test.go
@@ -224,7 +224,8 @@
 			testutil.Receive(t, busy)
 			method.disconnect(t, client)
 			// The test may read the request table, since the event loop is blocked.
-			testutil.WaitFor(t, "the disconnect", a.loop.requests.find(id).upstream.IsClientGone)
+			forwarded := a.loop.requests.find(id).upstream
+			testutil.WaitFor(t, "the disconnect", func() bool { return forwarded.Validate() != nil })
 			close(gate)
 			waitForNotSent(t, recorder.outcomes, server)
 		})
--- a/internal/agent/openrequest.go
+++ b/internal/agent/openrequest.go
@@ -56,7 +56,7 @@
 			Target:         inbound.Target,
 			Body:           inbound.Body,
 			Lifetime:       lifetime,
-			IsClientGone:   inbound.IsClientGone,
+			Validate:       inbound.Validate,
 			Memory:         inbound.Memory,
 		},
 		cancelLifetime: cancelLifetime,
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -78,38 +78,13 @@
 // readSocket reads from the socket.
 func (c *connection) readSocket(p []byte) (int, error) {
 	c.setAwaited(true)
-	n, err := c.Conn.Read(p)
+	n, err := c.scanner.readFrom(c.Conn, p)
 	if rejected := c.recordRead(n); rejected != nil {
 		return 0, rejected
 	}
-	c.scanner.add(p[:n])
 	return n, err
 }
 
-// validateFollowing returns an error if the bytes behind the current request can't be a further request. The length of
-// its body is then too small, or it has none, and what was read of it may be a part. unread are the next bytes of the
-// connection, which were not read.
-func (c *connection) validateFollowing(unread []byte) error {
-	if c.scanner.isFollowedByOther(unread) {
-		return errFollowedByOtherBytes
-	}
-	return nil
-}
-
-// validateUnreadFollowing is validateFollowing for a request of which at most the last byte was not read. It waits for
-// that byte.
-func (c *connection) validateUnreadFollowing() error {
-	remaining := c.scanner.bodyBytesRemaining()
-	switch {
-	case remaining > 1: // the scanner has lost its place
-		return nil
-	case remaining == 1:
-		_ = socket.WaitForReadable(c.Conn) // the read of the byte returns the error
-	}
-	unread := make([]byte, remaining+maxEmptyLines+maxRequestStart)
-	return c.validateFollowing(unread[:socket.PeekBytes(c.Conn, unread)])
-}
-
 // waitForFirstByte blocks until an idle connection has bytes to read, and moves it to phaseReading.
 func (c *connection) waitForFirstByte() error {
 	if len(c.unread) == 0 && c.isIdle() {
--- /dev/null
+++ b/internal/frontend/following.go
@@ -0,0 +1,45 @@
+package frontend
+
+import (
+	"errors"
+
+	"ashshunt/internal/socket"
+)
+
+// This file judges what a client has sent behind a request that is complete. If these bytes start no other request, the
+// length of the request's body is too small, and what was read of it is only a part. Such a request must be neither
+// forwarded nor served. More bytes may arrive at any time, so that each step which depends on them asks anew.
+
+// The reasons why a complete request must not be forwarded or served, or not any more.
+var (
+	// errDisconnected: the client has closed its connection.
+	errDisconnected = errors.New("client disconnected")
+	// errTooMuchUnread: the client has sent so many bytes after its request that a disconnect would not be detected.
+	errTooMuchUnread = badRequest("too much behind a request")
+	// errFollowedByOtherBytes: the bytes behind the request are no request, so that it may be cut.
+	errFollowedByOtherBytes = badRequest("bytes behind the request start no other request")
+)
+
+// validateOpenRequest returns an error if the current request, which is complete, must not be forwarded or no longer
+// needs a response. It is safe for concurrent use.
+func (c *connection) validateOpenRequest() error {
+	switch peer := socket.Peer(c.Conn); {
+	case peer.Closed:
+		return errDisconnected
+	case peer.Flooded:
+		return errTooMuchUnread
+	case !peer.HasUnread && !c.scanner.hasFollowing(): // saves a system call
+		return nil
+	}
+	return c.validateFollowing()
+}
+
+// validateFollowing returns an error if the bytes that have arrived behind the current request start no other request.
+// It is safe for concurrent use.
+func (c *connection) validateFollowing() error {
+	peek := func(buffer []byte) int { return socket.PeekBytes(c.Conn, buffer) }
+	if c.scanner.isFollowedByOther(peek) {
+		return errFollowedByOtherBytes
+	}
+	return nil
+}
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -13,7 +13,6 @@
 	"ashshunt/internal/config"
 	"ashshunt/internal/membudget"
 	"ashshunt/internal/protocol"
-	"ashshunt/internal/socket"
 )
 
 // disconnectPollInterval is the interval at which the connection of an open request is examined for a disconnect that
@@ -32,19 +31,14 @@
 	pipelinedPause = 10 * time.Millisecond
 )
 
-// The reasons, besides a malformed request, why a request gets no response from the event loop.
+// The reasons, besides those of following.go and a malformed request, why a request gets no response from the event
+// loop.
 var (
-	// errDisconnected: the client has closed its connection.
-	errDisconnected = errors.New("client disconnected")
 	// errRejectedIncomplete: a timeout or a shutdown rejected the request before it was complete, and the client
 	// already has a response; or the connection was closed.
 	errRejectedIncomplete = errors.New("request rejected before it was complete")
 	// errLoopStopped: the event loop has stopped, so no response will arrive.
 	errLoopStopped = errors.New("event loop stopped")
-	// errTooMuchUnread: the client has sent so many bytes after its request that a disconnect would not be detected.
-	errTooMuchUnread = badRequest("too much behind a request")
-	// errFollowedByOtherBytes: the bytes behind the request are no request, so that it may be cut.
-	errFollowedByOtherBytes = badRequest("bytes behind the request start no other request")
 )
 
 // handler handles the application's requests.
@@ -118,8 +112,9 @@
 	}
 }
 
-// handleRequest reads a request, submits it to the event loop and returns the loop's response. memory is held by the
-// caller until the response is written, and by the loop until the request and its attempts are finished.
+// handleRequest reads a request, submits it to the event loop and returns the loop's response, unless the request has
+// turned out to be cut in the meantime. memory is held by the caller until the response is written, and by the loop
+// until the request and its attempts are finished.
 func (h *handler) handleRequest(r *http.Request, memory *membudget.Reservation) (Response, error) {
 	request, err := h.readRequest(r, memory)
 	if err != nil {
@@ -129,7 +124,10 @@
 	h.loop.Submit(request)
 	response, err := h.waitForResponse(r, request)
 	response.writeUntil = h.clock.ToTime(request.Deadline).Add(h.timeouts.ResponseWrite)
-	return response, err
+	if err != nil {
+		return response, err
+	}
+	return response, connectionOf(r).validateFollowing()
 }
 
 // writeDeadline returns the time by which a client must have read a response. It leaves some time for the write itself.
@@ -143,7 +141,7 @@
 
 // handleError handles a request that gets no response from the event loop. It writes a response if err is a
 // *RequestError and the connection still allows one, or if the event loop has stopped. Otherwise it aborts the
-// connection. A *RequestError may also occur after the request was submitted (errTooMuchUnread).
+// connection. A *RequestError may also occur after the request was submitted (validateOpenRequest).
 func (h *handler) handleError(w http.ResponseWriter, r *http.Request, err error) {
 	h.logRefusal(r, err)
 	if requestErr, ok := errors.AsType[*RequestError](err); ok {
@@ -175,33 +173,28 @@
 	if err := conn.waitForMemory(memory, membudget.Requests, requestBytes); err != nil {
 		return nil, err
 	}
-	if r.ContentLength == 0 {
-		err = conn.validateFollowing(nil) // net/http may be reading ahead
-	} else {
-		request.Body, err = readBody(r, conn, memory)
+	if r.ContentLength > 0 {
+		if request.Body, err = readBody(r, conn, memory); err != nil {
+			return nil, err
+		}
 		arrived = conn.bodyArrival(time.Now())
 	}
-	if err != nil {
-		return nil, err
-	}
 	if !conn.startResponse() {
 		return nil, errRejectedIncomplete
 	}
-	// The client may have disconnected before its request was read.
-	if err := detectDisconnect(conn); err != nil {
+	if err := conn.validateOpenRequest(); err != nil {
 		return nil, err
 	}
-	request.IsClientGone = func() bool { return socket.Peer(conn.Conn).IsGone() }
+	request.Validate = conn.validateOpenRequest
 	request.ArrivedAt = h.clock.FromTime(arrived)
 	request.Deadline = request.ArrivedAt + request.Event.Timeout
 	return request, nil
 }
 
 // waitForResponse waits for the response to a submitted request, and abandons the request if its client disconnects
-// first. net/http detects a disconnect only until it has read a byte after the request, so the connection is examined
-// periodically as well.
+// first, or if the request turns out to be cut. net/http detects a disconnect only until it has read a byte after the
+// request, so the connection is examined periodically as well.
 func (h *handler) waitForResponse(r *http.Request, request *Request) (Response, error) {
-	conn := connectionOf(r)
 	ticker := time.NewTicker(disconnectPollInterval)
 	defer ticker.Stop()
 	var err error
@@ -214,21 +207,9 @@
 		case <-r.Context().Done():
 			err = errDisconnected
 		case <-ticker.C:
-			err = detectDisconnect(conn)
+			err = request.Validate()
 		}
 	}
 	h.loop.Abandon(request)
 	return Response{}, err
 }
-
-// detectDisconnect returns errDisconnected if the client has disconnected, or errTooMuchUnread if it has sent so many
-// bytes after its request that a disconnect would not be detected.
-func detectDisconnect(conn *connection) error {
-	switch peer := socket.Peer(conn.Conn); {
-	case peer.Closed:
-		return errDisconnected
-	case peer.Flooded:
-		return errTooMuchUnread
-	}
-	return nil
-}
--- a/internal/frontend/handler_test.go
+++ b/internal/frontend/handler_test.go
@@ -52,14 +52,14 @@
 			server, loop := startServer(t, testutil.Config(t, "127.0.0.1:1"), neverRespond, nil)
 			client := testutil.Dial(t, server.Addr(), testutil.RawGet(id)+extra)
 			request := testutil.Receive(t, loop.received)
-			if request.IsClientGone() {
-				t.Error("got IsClientGone true while the client waits, want false")
+			if err := request.Validate(); err != nil {
+				t.Errorf("got error %v while the client waits, want none", err)
 			}
 			if err := client.Close(); err != nil {
 				t.Fatal(err)
 			}
-			if abandoned := testutil.Receive(t, loop.abandoned); abandoned != request || !request.IsClientGone() {
-				t.Errorf("got abandoned request %+v, want the submitted one with IsClientGone true", abandoned)
+			if abandoned := testutil.Receive(t, loop.abandoned); abandoned != request || request.Validate() == nil {
+				t.Errorf("got abandoned request %+v, want the submitted one with an error of Validate", abandoned)
 			}
 		})
 	}
--- a/internal/frontend/parse.go
+++ b/internal/frontend/parse.go
@@ -247,25 +247,15 @@
 	return &url.URL{Opaque: path, RawQuery: query, ForceQuery: strings.HasSuffix(r.RequestURI, "?")}, nil
 }
 
-// readBody reads a body whose length has been validated, and validates what follows it before it reads the last byte:
-// after that, net/http reads ahead. It sets no read deadline, since net/http would treat a deadline that expires just
-// as the body completes as a disconnect. The connection rejects a request that takes too long.
+// readBody reads a body whose length has been validated. It sets no read deadline, since net/http would treat a
+// deadline that expires just as the body completes as a disconnect. The connection rejects a request that takes too
+// long.
 func readBody(r *http.Request, conn *connection, memory *membudget.Reservation) ([]byte, error) {
 	if err := conn.reserveBody(memory, r.ContentLength); err != nil {
 		return nil, err
 	}
 	body := make([]byte, r.ContentLength)
-	last := len(body) - 1
-	if _, err := r.Body.Read(body[:0]); err != nil { // sends 100 Continue if the client waits for it
-		return nil, badBody(err)
-	}
-	if _, err := io.ReadFull(r.Body, body[:last]); err != nil {
-		return nil, badBody(err)
-	}
-	if err := conn.validateUnreadFollowing(); err != nil {
-		return nil, err
-	}
-	if _, err := io.ReadFull(r.Body, body[last:]); err != nil {
+	if _, err := io.ReadFull(r.Body, body); err != nil {
 		return nil, badBody(err)
 	}
 	return body, nil
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -18,9 +18,10 @@
 	Body           []byte
 	ArrivedAt      time.Duration // time of the last byte, on the agent's clock
 	Deadline       time.Duration // end of the client's timeout, on the agent's clock
-	// IsClientGone reports whether the client has closed its connection, or has sent so many bytes after the request
-	// that a close would not be detected. It may report this before the event loop is told by EventLoop.Abandon.
-	IsClientGone func() bool
+	// Validate returns an error if the request must not be forwarded any more: its client has closed the connection,
+	// has sent so many bytes after the request that a close would not be detected, or has sent bytes which show that
+	// the request may be cut. It may return one before the event loop is told by EventLoop.Abandon.
+	Validate func() error
 
 	// Memory is the reservation of the request. Its holders are the frontend, until the response is written, and the
 	// event loop, until the request has no attempt in flight any more.
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"net"
 	"slices"
 	"sync"
+
+	"ashshunt/internal/socket"
 )
 
 // requestStarts are the methods with which a request may start, each with the space behind it.
@@ -36,9 +39,11 @@
 // requestScanner finds the ends of requests in the bytes that are read from a connection, as net/http does, and knows
 // which bytes follow a request. net/http reads ahead and does not tell how far.
 //
-// The owner adds all bytes in their order, and calls startBody for each request once net/http has read its head. It is
-// safe for concurrent use, since net/http reads ahead on another goroutine while a request is served.
+// The owner reads all bytes through readFrom, and calls startBody for each request once net/http has read its head. It
+// is safe for concurrent use, since net/http reads ahead on another goroutine while a request is served.
 type requestScanner struct {
+	// mu is also held from a read of the connection until its bytes are added. For whoever holds it, each byte that has
+	// arrived is thus either added or unread.
 	mu sync.Mutex
 
 	// state is the part of a request to which the next byte belongs.
@@ -70,6 +75,11 @@
 	scanImpossible                  // the scanner and net/http disagree about where a request ends
 )
 
+// readFrom reads bytes of the connection into p and adds them.
+func (s *requestScanner) readFrom(conn net.Conn, p []byte) (int, error) {
+	return socket.ReadLocked(conn, p, &s.mu, s.addLocked)
+}
+
 // add adds bytes that were read from the connection.
 func (s *requestScanner) add(p []byte) {
 	s.mu.Lock()
@@ -220,20 +230,30 @@
 	return int(s.bodyRemaining)
 }
 
+// hasFollowing reports whether bytes behind the current request were added.
+func (s *requestScanner) hasFollowing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state != scanBody && s.headLength > 0
+}
+
 // isFollowedByOther reports whether the bytes behind the current request can't be the first ones of a further request.
-// unread are the next bytes of the connection, which were not added. It reports false if the scanner can't tell.
-func (s *requestScanner) isFollowedByOther(unread []byte) bool {
+// It reports false as long as the request is incomplete, and if the scanner can't tell. peek copies the next bytes of
+// the connection that were not read to a buffer and returns their number; it is called only if they matter.
+func (s *requestScanner) isFollowedByOther(peek func(buffer []byte) int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state == scanImpossible {
+	if s.state == scanBody || s.state == scanImpossible {
 		return false
 	}
-	unread = unread[min(int64(len(unread)), s.bodyRemaining):]
+	first := s.start[:s.startLength]
+	if s.startLength == maxRequestStart || !mayStartRequest(first) {
+		return !mayStartRequest(first)
+	}
+	buffer := make([]byte, maxEmptyLines+maxRequestStart)
+	unread := buffer[:peek(buffer)]
 	if s.startLength == 0 {
 		unread = bytes.TrimLeft(unread, emptyLines)
 	}
-	var first [maxRequestStart]byte
-	n := copy(first[:], s.start[:s.startLength])
-	n += copy(first[n:], unread)
-	return !mayStartRequest(first[:n])
+	return !mayStartRequest(append(slices.Clone(first), unread...))
 }
--- a/internal/frontend/requestscanner_test.go
+++ b/internal/frontend/requestscanner_test.go
@@ -30,7 +30,7 @@
 				scanner.startBody(int64(len(bodies[number])))
 				end += len(heads[number]) + len(bodies[number])
 				number++
-				remaining, isOther := scanner.bodyBytesRemaining(), scanner.isFollowedByOther([]byte(stream[added:]))
+				remaining, isOther := scanner.bodyBytesRemaining(), scanner.isFollowedByOther(peekAt(stream[added:]))
 				if remaining != max(0, end-added) || isOther {
 					t.Fatalf("pieces of %d bytes, request %d: got %d bytes remaining, want %d; other bytes behind: %v",
 						size, number, remaining, max(0, end-added), isOther)
@@ -38,12 +38,37 @@
 			}
 		}
 		scanner.add([]byte("noise"))
-		if number != len(heads) || !scanner.isFollowedByOther(nil) {
+		if number != len(heads) || !scanner.isFollowedByOther(peekAt("")) {
 			t.Errorf("pieces of %d bytes: got %d requests, want %d and other bytes behind", size, number, len(heads))
 		}
 	}
 }
 
+// peekAt returns a function that copies the first bytes of a stream.
+func peekAt(stream string) func([]byte) int {
+	return func(buffer []byte) int { return copy(buffer, stream) }
+}
+
+// The scanner must judge the bytes behind a request by those that were added and those that were not read.
+func TestRequestScannerJudgesFollowingBytes(t *testing.T) {
+	head := "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\n"
+	for behind, want := range map[string]bool{
+		"": false, "P": false, "POST": false, "GET /b": false, "\r\n": false, "\r\n\r\nGET /": false,
+		"PA": false, "{": true, "PAY": true, "POSTS": true, "\r\n{": true, "\r\n\r\nGOT /": true, "post /": true,
+	} {
+		for added := range len("xy"+behind) + 1 {
+			var scanner requestScanner
+			scanner.add([]byte(head))
+			scanner.startBody(2)
+			scanner.add([]byte(("xy" + behind)[:added]))
+			got := scanner.isFollowedByOther(peekAt(("xy" + behind)[added:]))
+			if isWhole := added >= 2; got != (want && isWhole) {
+				t.Errorf("%q behind, %d bytes added: got %v, want %v", behind, added, got, want && isWhole)
+			}
+		}
+	}
+}
+
 // The scanner must find the same ends of requests as net/http.
 func FuzzRequestScanner(f *testing.F) {
 	get, post := testutil.RawGet(id), testutil.RawPost(id, "Content-Length: 3\r\n")+"abc"
@@ -63,7 +88,7 @@
 			if scanner.state == scanImpossible {
 				t.Fatalf("got no end of the head of a request, want one before %q", rest)
 			}
-			if got, want := scanner.isFollowedByOther(nil), !mayStartRequest(rest); got != want {
+			if got, want := scanner.isFollowedByOther(peekAt("")), !mayStartRequest(rest); got != want {
 				t.Fatalf("got other bytes behind the request %v, want %v: %q", got, want, rest)
 			}
 		}
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -27,9 +27,14 @@
 
 // Read implements net.Conn.
 func (c Conn) Read(p []byte) (n int, err error) {
+	return retryRead(func() (int, error) { return c.Conn.Read(p) })
+}
+
+// retryRead calls a function that reads, and retries it while it fails transiently without reading any byte.
+func retryRead(read func() (int, error)) (n int, err error) {
 	delay := initialRetryDelay
 	for range maxRetries {
-		if n, err = c.Conn.Read(p); n > 0 || !isTransient(err) {
+		if n, err = read(); n > 0 || !isTransient(err) {
 			return n, err
 		}
 		time.Sleep(delay)
--- a/internal/socket/export_test.go
+++ b/internal/socket/export_test.go
@@ -7,11 +7,11 @@
 	"golang.org/x/sys/unix"
 )
 
-// FailSyscalls makes the next count calls of each system call that examines a socket fail with cause. The system calls
-// are restored at the end of the test.
+// FailSyscalls makes the next count calls of each system call on a socket fail with cause. The system calls are
+// restored at the end of the test.
 func FailSyscalls(t *testing.T, count int, cause error) {
 	t.Helper()
-	recvfromLeft, pollLeft, ioctlLeft := count, count, count
+	recvfromLeft, readLeft, pollLeft, ioctlLeft := count, count, count, count
 	fails := func(left *int) bool {
 		*left--
 		return *left >= 0
@@ -22,6 +22,12 @@
 		}
 		return syscall.Recvfrom(fd, p, flags)
 	}
+	read = func(fd int, p []byte) (int, error) {
+		if fails(&readLeft) {
+			return -1, cause
+		}
+		return syscall.Read(fd, p)
+	}
 	poll = func(fds []unix.PollFd, timeout int) (int, error) {
 		if fails(&pollLeft) {
 			return -1, cause
@@ -34,5 +40,7 @@
 		}
 		return unix.IoctlGetInt(fd, request)
 	}
-	t.Cleanup(func() { recvfrom, poll, ioctlGetInt = syscall.Recvfrom, unix.Poll, unix.IoctlGetInt })
+	t.Cleanup(func() {
+		recvfrom, read, poll, ioctlGetInt = syscall.Recvfrom, syscall.Read, unix.Poll, unix.IoctlGetInt
+	})
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -13,9 +13,10 @@
 	"golang.org/x/sys/unix"
 )
 
-// The system calls that examine a socket; tests replace them.
+// The system calls that examine a socket or read from it; tests replace them.
 var (
 	recvfrom    = syscall.Recvfrom
+	read        = syscall.Read
 	poll        = unix.Poll
 	ioctlGetInt = unix.IoctlGetInt
 )
@@ -102,14 +103,11 @@
 
 // PeerState describes a peer that waits for a response.
 type PeerState struct {
-	Closed  bool // the peer has closed its sending side or the whole connection, or the connection has failed
-	Flooded bool // the peer has sent more than maxUnreadBytes after its request
+	Closed    bool // the peer has closed its sending side or the whole connection, or the connection has failed
+	Flooded   bool // the peer has sent more than maxUnreadBytes after its request
+	HasUnread bool // bytes after its request wait in the socket
 }
 
-// IsGone reports whether the peer gets no response: it has closed its connection or its sending side, the connection
-// has failed, or the peer floods it.
-func (s PeerState) IsGone() bool { return s.Closed || s.Flooded }
-
 // Peer returns the state of the peer. It also detects a close that follows unread bytes.
 func Peer(conn net.Conn) PeerState {
 	raw, err := rawConn(conn)
@@ -118,7 +116,9 @@
 	}
 	var state PeerState
 	err = raw.Control(func(fd uintptr) {
-		state = PeerState{Closed: isHungUp(fd), Flooded: queuedBytes(fd, unix.TIOCINQ) > maxUnreadBytes}
+		state.Closed = isHungUp(fd)
+		unread := queuedBytes(fd, unix.TIOCINQ)
+		state.HasUnread, state.Flooded = unread > 0, unread > maxUnreadBytes
 	})
 	if err != nil { // closed by this side: no response can be sent
 		state.Closed = true
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -116,11 +116,11 @@
 		want        socket.PeerState
 	}{
 		{"waits", "", false, socket.PeerState{}},
-		{"waits, bytes after the request", "GET /", false, socket.PeerState{}},
+		{"waits, bytes after the request", "GET /", false, socket.PeerState{HasUnread: true}},
 		{"closes", "", true, socket.PeerState{Closed: true}},
-		{"closes, bytes after the request", "GET /", true, socket.PeerState{Closed: true}},
-		{"floods", flood, false, socket.PeerState{Flooded: true}},
-		{"floods and closes", flood, true, socket.PeerState{Closed: true, Flooded: true}},
+		{"closes, bytes after the request", "GET /", true, socket.PeerState{Closed: true, HasUnread: true}},
+		{"floods", flood, false, socket.PeerState{Flooded: true, HasUnread: true}},
+		{"floods and closes", flood, true, socket.PeerState{Closed: true, Flooded: true, HasUnread: true}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			local, peer := connect(t)
@@ -129,9 +129,6 @@
 				closeWrite(t, peer)
 			}
 			testutil.WaitFor(t, "the wanted state", func() bool { return socket.Peer(local) == tt.want })
-			if got, want := socket.Peer(local).IsGone(), tt.want != (socket.PeerState{}); got != want {
-				t.Errorf("got IsGone %v, want %v", got, want)
-			}
 		})
 	}
 }
--- a/internal/socket/transient_test.go
+++ b/internal/socket/transient_test.go
@@ -53,8 +53,8 @@
 	if !socket.HasUnread(local) {
 		t.Error("got HasUnread false while system calls fail, want true")
 	}
-	if socket.Peer(local).IsGone() {
-		t.Error("got IsGone true while system calls fail, want false")
+	if state := socket.Peer(local); state.Closed || state.Flooded {
+		t.Errorf("got %+v while system calls fail, want neither closed nor flooded", state)
 	}
 }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -55,16 +55,30 @@
 		return failure.result, unsentResponse(failure)
 	}
 	// The request may have finished during the dial. Nothing blocks between this check and the write of the request.
-	if request.isFinished() || ctx.Err() != nil || !options.allowsStart() {
+	if err := validateStart(ctx, request, options); err != nil {
 		c.pool.release(conn)
-		c.logUnsent(label, balancer.NotSent, nil)
-		return balancer.NotSent, unsentResponse(nil)
+		c.logUnsent(label, balancer.NotSent, err)
+		return balancer.NotSent, unsentResponse(err)
 	}
 	limits := c.newExchangeLimits(conn, options.Deadline, options.Reuse)
 	limits.memory = request.Memory
 	return c.sendOn(ctx, conn, label, newForwardedRequest(request, options.Deadline), limits)
 }
 
+// validateStart returns an error if an attempt must not be sent now.
+func validateStart(ctx context.Context, request *Request, options AttemptOptions) error {
+	if err := request.validate(); err != nil {
+		return err
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if !options.allowsStart() {
+		return errTooLate
+	}
+	return nil
+}
+
 // HealthCheck sends a health check to an endpoint. If load reports are enabled, it requests protocol.LoadReportPath
 // instead of protocol.HealthPath.
 func (c *Client) HealthCheck(ctx context.Context, endpointID string,
@@ -88,7 +102,7 @@
 	return result, response
 }
 
-// unsentResponse returns the response of an attempt that sent no byte. err may be nil.
+// unsentResponse returns the response of an attempt that sent no byte.
 func unsentResponse(err error) Response { return Response{EndedAt: time.Now(), Err: err} }
 
 // connect returns an idle or a new connection to an endpoint. The endpoint may start to drain or be restarted during
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -64,7 +64,7 @@
 		}, balancer.ConnectFailed},
 		{requestFinished, func(_ *Client, _ *Request, end func()) { end() }, balancer.NotSent},
 		{"client gone", func(_ *Client, request *Request, _ func()) {
-			request.IsClientGone = func() bool { return true }
+			request.Validate = func() error { return errors.New("client disconnected") }
 		}, balancer.NotSent},
 	}
 	for _, tt := range tests {
@@ -189,7 +189,7 @@
 			t.Parallel()
 			server := testutil.NewServer(t, testutil.Echo)
 			client, request := newTestClient(t, server.Addr()), newUnsafeRequest()
-			request.IsClientGone = func() bool { time.Sleep(tt.stall); return false }
+			request.Validate = func() error { time.Sleep(tt.stall); return nil }
 			options := newOptions(testutil.Timeout)
 			options.NotAfter = time.Now().Add(tt.timeLeft)
 			if result, _ := client.Attempt(t.Context(), request, "s0", options); result != tt.want {
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -10,6 +10,8 @@
 	// errNotServing means that an endpoint started to drain, or was removed from the list, after it was picked for an
 	// attempt or a health check.
 	errNotServing = errors.New("endpoint is not serving")
+	// errTooLate means that too little time is left to start an attempt.
+	errTooLate = errors.New("too late to start")
 	// errPoolExhausted means that the pool has reached its connection limit and all connections are in use.
 	errPoolExhausted = errors.New("connection pool exhausted")
 	// errUnrequestedBytes means that bytes arrived on a connection before its request could have reached the endpoint.
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -42,13 +42,13 @@
 // newUnsafeRequest returns a request that must not run twice.
 func newUnsafeRequest() *Request {
 	return &Request{
-		ID:           "00000000000000a1",
-		Method:       http.MethodPost,
-		Host:         "api.internal",
-		Target:       &url.URL{Opaque: "/settle"},
-		Body:         []byte("x"),
-		Lifetime:     context.Background(),
-		IsClientGone: func() bool { return false },
+		ID:       "00000000000000a1",
+		Method:   http.MethodPost,
+		Host:     "api.internal",
+		Target:   &url.URL{Opaque: "/settle"},
+		Body:     []byte("x"),
+		Lifetime: context.Background(),
+		Validate: func() error { return nil },
 	}
 }
 
--- a/internal/upstream/log.go
+++ b/internal/upstream/log.go
@@ -22,7 +22,7 @@
 	return []any{telemetry.Request(l.requestID), telemetry.Attempt(l.attempt), telemetry.Endpoint(l.endpointID)}
 }
 
-// logUnsent logs an attempt or a health check of which no byte was sent. err may be nil.
+// logUnsent logs an attempt or a health check of which no byte was sent.
 func (c *Client) logUnsent(label exchangeLabel, result balancer.Result, err error) {
 	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
 		return
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -21,15 +22,20 @@
 	Target         *url.URL // path and query as sent by the client
 	Body           []byte
 	Lifetime       context.Context // cancelled when the request has finished; no attempt may start after that
-	// IsClientGone reports whether the client will get no response, because it closed its connection or sent too many
-	// bytes after its request. It may become true before Lifetime is cancelled.
-	IsClientGone func() bool
+	// Validate returns an error if no attempt may start any more, because of what the client has done since it sent the
+	// request. It may return one before Lifetime is cancelled.
+	Validate func() error
 	// Memory reserves the memory of long responses; nil: it is not limited.
 	Memory *membudget.Reservation
 }
 
-// isFinished reports whether no attempt of the request may start any more.
-func (r *Request) isFinished() bool { return r.Lifetime.Err() != nil || r.IsClientGone() }
+// validate returns an error if no attempt of the request may start any more.
+func (r *Request) validate() error {
+	if err := r.Lifetime.Err(); err != nil {
+		return fmt.Errorf("the request has finished: %w", err)
+	}
+	return r.Validate()
+}
 
 // newForwardedRequest returns the HTTP request of an attempt. Its timeout header is the time until the deadline in
 // milliseconds, at least 1.
--- a/internal/upstream/unrequested_test.go
+++ b/internal/upstream/unrequested_test.go
@@ -66,9 +66,9 @@
 	client, request := newTestClient(t, listener.Addr().String()), newUnsafeRequest()
 	var dialed syscall.RawConn
 	client.pool.dialer.Control = func(_, _ string, raw syscall.RawConn) error { dialed = raw; return nil }
-	request.IsClientGone = func() bool { // called right before the request is sent
+	request.Validate = func() error { // called right before the request is sent
 		testutil.WaitFor(t, "the rejection", func() bool { return hasUnread(dialed) })
-		return false
+		return nil
 	}
 	result, response := client.Attempt(context.Background(), request, "s0", newOptions(testutil.Timeout))
 	if result != balancer.ConnectFailed || !errors.Is(response.Err, errUnrequestedBytes) {
