Reject health checks with a body, or followed by bytes that start no request

What callers saw: GET /healthz was answered with 200 whatever its length said and whatever came behind it, as if the check had been read whole.

Cause: the handler of health checks never looked at what follows. Its requests have no body by the protocol, but a stated one was neither read nor refused.

Change: a health check with a body (also a chunked one) gets a 400, and so does one that is followed by bytes that start no request. Health checks with a length of 0, an empty line or a request behind them are answered as before.

--- a/internal/frontend/followed_test.go
+++ b/internal/frontend/followed_test.go
@@ -69,6 +69,36 @@
 	}
 }
 
+// A health check must not be answered as one if bytes behind it show that it has a body.
+func TestHealthCheckFollowedByOtherBytesIsRejected(t *testing.T) {
+	t.Parallel()
+	healthCheck := func(headers string) string { return "GET /healthz HTTP/1.1\r\nHost: x\r\n" + headers + "\r\n" }
+	for _, tt := range []struct {
+		name, text string
+		status     int
+	}{
+		{"nothing behind", healthCheck(""), http.StatusOK},
+		{"length of 0", healthCheck("Content-Length: 0\r\n"), http.StatusOK},
+		{"a request behind", healthCheck("") + testutil.RawGet(id), http.StatusOK},
+		{"an empty line behind", healthCheck("") + "\r\n", http.StatusOK},
+		{"a body without a length", healthCheck("") + "{}", http.StatusBadRequest},
+		{"length of 0, with a body", healthCheck("Content-Length: 0\r\n") + "{}", http.StatusBadRequest},
+		{"a body", healthCheck("Content-Length: 2\r\n") + "{}", http.StatusBadRequest},
+		{"length 1 too small", healthCheck("Content-Length: 1\r\n") + "{}", http.StatusBadRequest},
+		{"chunks", healthCheck("Transfer-Encoding: chunked\r\n") + "0\r\n\r\n", http.StatusBadRequest},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			server, _ := startServer(t, testutil.Config(t, "127.0.0.1:1"), echo, nil)
+			in := bufio.NewReader(testutil.Dial(t, server.Addr(), tt.text))
+			if got := testutil.ReadResponse(t, in).StatusCode; got != tt.status {
+				t.Errorf("got status %d, want %d", got, tt.status)
+			}
+			expectEnd(t, in)
+		})
+	}
+}
+
 // expectEnd verifies that a connection ends without more bytes.
 func expectEnd(t *testing.T, in io.Reader) {
 	t.Helper()
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -81,7 +81,7 @@
 	conn.recordParsedHead(knownRequestID(r), conn.scanner.bodyBytesRemaining() > 0)
 	_ = conn.SetWriteDeadline(time.Time{}) // that of the previous response; fails only if the connection is closed
 	if r.URL.Path == protocol.HealthPath {
-		h.serveHealth(w)
+		h.serveHealth(w, r)
 		return
 	}
 	if conn.isPipelining() {
