Send cut requests, and requests with the next one's first bytes behind, in the soak

Cause: the soak's invalid requests carried their rest in the same write, and no client wrote anything behind an open request.

Change: two clients send requests whose length is too small, with the rest 0 to 50 ms later in a write of its own. None may be served by an endpoint's response that was sent after the agent's machine had acknowledged the rest, and none forwarded later than the grace that disconnected clients have. Two more write the first bytes of each second request before they read the first response; both requests need their answers.

--- /dev/null
+++ b/cmd/ashshunt/soak_followed_test.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"ashshunt/internal/socket"
+)
+
+const (
+	soakCutClients   = 2
+	soakAheadClients = 2
+	// maxRestDelay is the maximum time between a part of a request and its rest.
+	maxRestDelay = 50 * time.Millisecond
+	// maxAheadDelay is the maximum time between a request and the first bytes of the next one.
+	maxAheadDelay = 20 * time.Millisecond
+	// ackPollInterval is the time between two looks for the acknowledgement of the bytes that were sent.
+	ackPollInterval = 200 * time.Microsecond
+)
+
+// cutClient sends requests whose length is too small, each with the rest in a write of its own.
+type cutClient struct{ *soakClient }
+
+// run sends requests until the run is stopped.
+func (c cutClient) run() {
+	defer c.disconnect()
+	for c.waitForNext() {
+		if c.connect() {
+			c.sendCut()
+		}
+	}
+}
+
+// waitForNext pauses between two requests. It returns false if the run is stopped.
+func (c *soakClient) waitForNext() bool {
+	select {
+	case <-c.soak.stopped:
+		return false
+	case <-time.After(c.drawPause()):
+		return true
+	}
+}
+
+// drawFollowable draws a request that may have a body.
+func (c *soakClient) drawFollowable() (*soakRequest, soakClass) {
+	for {
+		request, class := c.drawRequest()
+		if class.idempotency != semanticsIdempotent {
+			request.bodyLength++
+			return request, class
+		}
+	}
+}
+
+// sendCut sends a request whose length is too small, and later the rest. It must get an error, or the end of its
+// connection, unless the rest arrives behind the response of the endpoint.
+func (c cutClient) sendCut() {
+	defer c.disconnect()
+	rng, verifier := c.soak.rng, c.soak.verifier
+	request, class := c.drawFollowable()
+	request.isCut = true
+	length := request.bodyLength - 1
+	if rng.drawBool(0.5) {
+		length = rng.drawInt(request.bodyLength)
+	}
+	text := request.text(class)
+	text = strings.Replace(text, fmt.Sprintf("Content-Length: %d\r\n", request.bodyLength),
+		fmt.Sprintf("Content-Length: %d\r\n", length), 1)
+	rest := text[len(text)-(request.bodyLength-length):]
+	request.firstByteAt = time.Now()
+	verifier.recordSendStart(request)
+	if _, err := io.WriteString(c.conn, strings.TrimSuffix(text, rest)); err != nil {
+		verifier.recordSendFailure(request, false)
+		return
+	}
+	verifier.recordSent(request)
+	if rng.drawBool(0.7) {
+		time.Sleep(rng.drawDuration(0, maxRestDelay))
+	}
+	if _, err := io.WriteString(c.conn, rest); err == nil && c.waitForAck(request.timeout) {
+		verifier.recordRest(request)
+	}
+	c.readCutResponse(request)
+}
+
+// waitForAck waits until the agent's machine has all bytes that were sent, and reports whether it has them in time.
+func (c cutClient) waitForAck(timeout time.Duration) bool {
+	for end := time.Now().Add(timeout); socket.HasUnacknowledged(c.conn); time.Sleep(ackPollInterval) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
+// readCutResponse reads the response to a cut request, or the end of its connection.
+func (c cutClient) readCutResponse(request *soakRequest) {
+	_ = c.conn.SetReadDeadline(request.sentAt.Add(request.timeout + responseTimeout)) // the read fails as well
+	response, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		c.soak.verifier.recordClose(request, errors.Is(err, os.ErrDeadlineExceeded))
+		return
+	}
+	body, err := io.ReadAll(response.Body)
+	if err == nil {
+		c.soak.verifier.recordResponse(request, response.StatusCode, string(body))
+	}
+}
+
+// aheadClient sends the first bytes of each second request before it reads the response to the first one.
+type aheadClient struct{ *soakClient }
+
+// run sends requests until the run is stopped.
+func (c aheadClient) run() {
+	defer c.disconnect()
+	for c.waitForNext() {
+		if c.connect() {
+			c.sendPair()
+		}
+	}
+}
+
+// sendPair sends two requests on the connection. It gives up the second one if the agent closes the connection before
+// it is complete.
+func (c aheadClient) sendPair() {
+	rng, verifier := c.soak.rng, c.soak.verifier
+	first, firstClass := c.drawRequest()
+	second, secondClass := c.drawRequest()
+	second.reusedConnection = true
+	rest := second.text(secondClass)
+	ahead := c.drawPrefix(rest)
+	rest = strings.TrimPrefix(rest, ahead)
+	text := first.text(firstClass)
+	comesTogether := rng.drawBool(0.5)
+	if comesTogether {
+		text += ahead
+	}
+	first.firstByteAt, c.connUsed = time.Now(), true
+	verifier.recordSendStart(first)
+	if _, err := io.WriteString(c.conn, text); err != nil {
+		verifier.recordSendFailure(first, false)
+		c.disconnect()
+		return
+	}
+	first.mayBeShutUnread = c.mayBeShutUnread(first)
+	verifier.recordSent(first)
+	if !comesTogether {
+		time.Sleep(rng.drawDuration(0, maxAheadDelay))
+		_, _ = io.WriteString(c.conn, ahead) // fails if the agent has closed the connection, which shows below
+	}
+	second.firstByteAt = time.Now()
+	if c.waitForResponse(first); c.conn == nil {
+		return
+	}
+	verifier.recordSendStart(second)
+	if _, err := io.WriteString(c.conn, rest); err != nil {
+		verifier.recordSendFailure(second, !c.hasResponse())
+		c.disconnect()
+		return
+	}
+	verifier.recordSent(second)
+	c.waitForResponse(second)
+}
+
+// recordRest records that the rest of a cut request has arrived at the agent's machine.
+func (v *soakVerifier) recordRest(r *soakRequest) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r.restArrivedAt = time.Now()
+}
+
+// verifyCut verifies that a cut request whose rest has arrived was neither served nor forwarded after that. The caller
+// holds the mutex.
+func (v *soakVerifier) verifyCut(r *soakRequest) {
+	if r.restArrivedAt.IsZero() || len(r.attempts) == 0 {
+		return
+	}
+	last := r.attempts[len(r.attempts)-1]
+	if r.status == http.StatusOK && last.finishedAt.After(r.restArrivedAt) {
+		v.recordViolationLocked(ruleCut, fmt.Sprintf("%s: served although its rest arrived %v before the response",
+			r.id, last.finishedAt.Sub(r.restArrivedAt)))
+	}
+	if late := last.startedAt.Sub(r.restArrivedAt); late > maxAttemptDelay+v.slack {
+		v.recordViolationLocked(ruleCut, fmt.Sprintf("%s: attempt %v after the rest arrived", r.id, late))
+	}
+}
--- a/cmd/ashshunt/soak_test.go
+++ b/cmd/ashshunt/soak_test.go
@@ -207,6 +207,12 @@
 	for range soakClients {
 		workers.Go(func() { newSoakClient(s).run() })
 	}
+	for range soakCutClients {
+		workers.Go(func() { cutClient{newSoakClient(s)}.run() })
+	}
+	for range soakAheadClients {
+		workers.Go(func() { aheadClient{newSoakClient(s)}.run() })
+	}
 	if s.idleClients {
 		for range soakIdleClients {
 			workers.Go(s.runIdleClient)
--- a/cmd/ashshunt/soak_verifier_test.go
+++ b/cmd/ashshunt/soak_verifier_test.go
@@ -27,6 +27,8 @@
 	ruleAttemptTimeout rule = "attempt timeout"
 	// ruleInvalid: the connection of an invalid request is closed within maxInvalidDuration.
 	ruleInvalid rule = "invalid request"
+	// ruleCut: a request is not served if bytes behind it show that its length is too small.
+	ruleCut rule = "cut request"
 	// ruleLog: the agent logs no internal errors.
 	ruleLog rule = "log"
 	// ruleCrash: each process of the agent exits with status 0 or is killed.
@@ -56,16 +58,18 @@
 	firstByteAt      time.Time // when the first byte was written
 	sentAt           time.Time // when the last byte was written; protected by soakVerifier.mu
 	mayBeShutUnread  bool      // the connection may have been closed before the first byte
+	isCut            bool      // the length of the body is too small
 	disconnectedAt   time.Time // when the client disconnected without a response; zero: it did not
 
 	// The fields below are protected by soakVerifier.mu.
 
-	respondedAt time.Time
-	status      int
-	closed      bool // the client's connection ended without a response
-	closedAt    time.Time
-	resetAt     time.Time // when the connection was reset behind the response; zero: it was not
-	attempts    []*soakAttempt
+	respondedAt   time.Time
+	status        int
+	closed        bool // the client's connection ended without a response
+	closedAt      time.Time
+	resetAt       time.Time // when the connection was reset behind the response; zero: it was not
+	restArrivedAt time.Time // when the agent's machine had the rest of a cut request; zero: not known
+	attempts      []*soakAttempt
 }
 
 // soakAttempt is an attempt of a request as its endpoint has received it.
--- a/cmd/ashshunt/soak_verify_test.go
+++ b/cmd/ashshunt/soak_verify_test.go
@@ -56,7 +56,11 @@
 		if !r.resetAt.IsZero() && !v.isNearKillLocked(r.resetAt) {
 			v.recordViolationLocked(ruleResponse, fmt.Sprintf("%s: reset behind the response %d", r.id, r.status))
 		}
-		v.verifyResponse(r)
+		if r.isCut {
+			v.verifyCut(r)
+		} else {
+			v.verifyResponse(r)
+		}
 		v.verifyAttempts(r)
 	}
 	for _, r := range v.invalid {
