--- a/cmd/ashshunt/soak_followed_test.go
+++ b/cmd/ashshunt/soak_followed_test.go
@@ -150,6 +150,7 @@
 	first.mayBeShutUnread = c.mayBeShutUnread(first)
 	verifier.recordSent(first)
 	if !comesTogether {
+		first.mayCrossClose = true
 		time.Sleep(rng.drawDuration(0, maxAheadDelay))
 		_, _ = io.WriteString(c.conn, ahead) // fails if the agent has closed the connection, which shows below
 	}
--- a/cmd/ashshunt/soak_verifier_test.go
+++ b/cmd/ashshunt/soak_verifier_test.go
@@ -58,6 +58,7 @@
 	firstByteAt      time.Time // when the first byte was written
 	sentAt           time.Time // when the last byte was written; protected by soakVerifier.mu
 	mayBeShutUnread  bool      // the connection may have been closed before the first byte
+	mayCrossClose    bool      // bytes behind the request may arrive after the agent has closed the connection
 	isCut            bool      // the length of the body is too small
 	disconnectedAt   time.Time // when the client disconnected without a response; zero: it did not
 
