Allocate nothing for the reads and looks at a client's connection

Change: the calls of ReadLocked and PeekBytes are reused, as those of Peek were, a Conn keeps its raw connection, and the receiver of the bytes and the connection to look at are interfaces in place of functions.

The system call of the look before the response remains.

--- a/internal/frontend/following.go
+++ b/internal/frontend/following.go
@@ -37,9 +37,11 @@
 // validateFollowing returns an error if the bytes that have arrived behind the current request start no other request.
 // It is safe for concurrent use.
 func (c *connection) validateFollowing() error {
-	peek := func(buffer []byte) int { return socket.PeekBytes(c.Conn, buffer) }
-	if c.scanner.isFollowedByOther(peek) {
+	if c.scanner.isFollowedByOther(c) {
 		return errFollowedByOtherBytes
 	}
 	return nil
 }
+
+// peek implements peeker.
+func (c *connection) peek(buffer []byte) int { return socket.PeekBytes(c.Conn, buffer) }
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -61,6 +61,8 @@
 	emptyLength int
 	// unscanned holds the bytes behind a head whose body has an unknown length, maxUnscannedBytes at most.
 	unscanned []byte
+	// peeked is the buffer for bytes of the connection that were not read.
+	peeked [maxEmptyLines + maxRequestStart]byte
 	// bodyRemaining is the number of bytes of the body that were not added; 0 unless state is scanBody.
 	bodyRemaining int64
 }
@@ -77,9 +79,18 @@
 
 // readFrom reads bytes of the connection into p and adds them.
 func (s *requestScanner) readFrom(conn net.Conn, p []byte) (int, error) {
-	return socket.ReadLocked(conn, p, &s.mu, s.addLocked)
+	return socket.ReadLocked(conn, p, s)
 }
 
+// Lock implements socket.Receiver.
+func (s *requestScanner) Lock() { s.mu.Lock() }
+
+// Unlock implements socket.Receiver.
+func (s *requestScanner) Unlock() { s.mu.Unlock() }
+
+// Receive implements socket.Receiver.
+func (s *requestScanner) Receive(p []byte) { s.addLocked(p) }
+
 // add adds bytes that were read from the connection.
 func (s *requestScanner) add(p []byte) {
 	s.mu.Lock()
@@ -238,9 +249,9 @@
 }
 
 // isFollowedByOther reports whether the bytes behind the current request can't be the first ones of a further request.
-// It reports false as long as the request is incomplete, and if the scanner can't tell. peek copies the next bytes of
-// the connection that were not read to a buffer and returns their number; it is called only if they matter.
-func (s *requestScanner) isFollowedByOther(peek func(buffer []byte) int) bool {
+// It reports false as long as the request is incomplete, and if the scanner can't tell. The bytes of the connection
+// that were not read are examined only if they matter.
+func (s *requestScanner) isFollowedByOther(connection peeker) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state == scanBody || s.state == scanImpossible {
@@ -250,10 +261,18 @@
 	if s.startLength == maxRequestStart || !mayStartRequest(first) {
 		return !mayStartRequest(first)
 	}
-	buffer := make([]byte, maxEmptyLines+maxRequestStart)
-	unread := buffer[:peek(buffer)]
+	unread := s.peeked[:connection.peek(s.peeked[:])]
 	if s.startLength == 0 {
 		unread = bytes.TrimLeft(unread, emptyLines)
 	}
-	return !mayStartRequest(append(slices.Clone(first), unread...))
+	var start [maxRequestStart]byte
+	n := copy(start[:], first)
+	n += copy(start[n:], unread)
+	return !mayStartRequest(start[:n])
+}
+
+// peeker is a connection whose next bytes can be examined.
+type peeker interface {
+	// peek copies the next bytes that were not read to a buffer, and returns their number.
+	peek(buffer []byte) int
 }
--- a/internal/frontend/requestscanner_test.go
+++ b/internal/frontend/requestscanner_test.go
@@ -44,10 +44,10 @@
 	}
 }
 
-// peekAt returns a function that copies the first bytes of a stream.
-func peekAt(stream string) func([]byte) int {
-	return func(buffer []byte) int { return copy(buffer, stream) }
-}
+// peekAt is a connection whose unread bytes are given.
+type peekAt string
+
+func (p peekAt) peek(buffer []byte) int { return copy(buffer, p) }
 
 // The scanner must judge the bytes behind a request by those that were added and those that were not read.
 func TestRequestScannerJudgesFollowingBytes(t *testing.T) {
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -20,10 +20,19 @@
 
 // Conn is a TCP connection that retries reads and writes after transient failures (see isTransient). The connection is
 // still healthy after such a failure, and closing it would lose the request on it.
-type Conn struct{ net.Conn }
+type Conn struct {
+	net.Conn
+	raw syscall.RawConn // nil if the wrapped connection is not a socket
+}
 
 // NewConn wraps conn.
-func NewConn(conn net.Conn) Conn { return Conn{conn} }
+func NewConn(conn net.Conn) Conn {
+	raw, err := rawConn(conn)
+	if err != nil {
+		raw = nil
+	}
+	return Conn{Conn: conn, raw: raw}
+}
 
 // Read implements net.Conn.
 func (c Conn) Read(p []byte) (n int, err error) {
@@ -87,7 +96,12 @@
 }
 
 // SyscallConn implements syscall.Conn.
-func (c Conn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+func (c Conn) SyscallConn() (syscall.RawConn, error) {
+	if c.raw == nil {
+		return rawConn(c.Conn) // the error says why there is none
+	}
+	return c.raw, nil
+}
 
 // CloseWrite closes the sending side of a connection; the peer reads EOF after all bytes written before. It has no
 // effect on a connection that does not support this or is already closed.
--- a/internal/socket/lockedread_test.go
+++ b/internal/socket/lockedread_test.go
@@ -15,11 +15,21 @@
 	"ashshunt/internal/testutil"
 )
 
+// receiver keeps the bytes that it gets. The mutex protects them.
+type receiver struct {
+	sync.Mutex
+	received []byte
+}
+
+// Receive implements socket.Receiver.
+func (r *receiver) Receive(p []byte) { r.received = append(r.received, p...) }
+
 // readLocked calls ReadLocked with a buffer, and returns the bytes that were read and those that were passed on.
-func readLocked(conn net.Conn, lock sync.Locker, size int) (read, passed string, err error) {
+func readLocked(conn net.Conn, size int) (read, passed string, err error) {
+	var r receiver
 	buffer := make([]byte, size)
-	n, err := socket.ReadLocked(conn, buffer, lock, func(p []byte) { passed += string(p) })
-	return string(buffer[:n]), passed, err
+	n, err := socket.ReadLocked(conn, buffer, &r)
+	return string(buffer[:n]), string(r.received), err
 }
 
 // Whoever holds the lock must find each byte of a stream once: passed on, or unread in the socket. Otherwise bytes that
@@ -28,13 +38,11 @@
 	t.Parallel()
 	stream := strings.Repeat("0123456789", 2000)
 	local, peer := connect(t)
-	var lock sync.Mutex
-	passed := 0 // protected by lock
+	var r receiver
 	ended := make(chan error, 1)
 	go func() {
-		count := func(p []byte) { passed += len(p) }
 		for {
-			if _, err := socket.ReadLocked(local, make([]byte, 1), &lock, count); err != nil {
+			if _, err := socket.ReadLocked(local, make([]byte, 1), &r); err != nil {
 				ended <- err
 				return
 			}
@@ -47,18 +55,18 @@
 	for {
 		select {
 		case err := <-ended:
-			if !errors.Is(err, io.EOF) || passed != len(stream) {
-				t.Errorf("got %d bytes and error %v, want %d and the end of the stream", passed, err, len(stream))
+			if !errors.Is(err, io.EOF) || string(r.received) != stream {
+				t.Errorf("got %d bytes and error %v, want the stream and its end", len(r.received), err)
 			}
 			return
 		default:
 		}
-		lock.Lock()
+		r.Lock()
 		next := make([]byte, 1)
-		if n := socket.PeekBytes(local, next); n == 1 && next[0] != stream[passed] {
-			t.Fatalf("got unread byte %q behind %d bytes, want %q", next, passed, stream[passed])
+		if n := socket.PeekBytes(local, next); n == 1 && next[0] != stream[len(r.received)] {
+			t.Fatalf("got unread byte %q behind %d bytes, want %q", next, len(r.received), stream[len(r.received)])
 		}
-		lock.Unlock()
+		r.Unlock()
 	}
 }
 
@@ -66,20 +74,20 @@
 func TestReadLockedWaitsWithoutLock(t *testing.T) {
 	t.Parallel()
 	local, peer := connect(t)
-	var lock sync.Mutex
-	read := make(chan string, 1)
+	var r receiver
+	read := make(chan error, 1)
 	go func() {
-		text, _, _ := readLocked(local, &lock, 4) // an error shows in the text
-		read <- text
+		_, err := socket.ReadLocked(local, make([]byte, 4), &r)
+		read <- err
 	}()
 	for range 100 { // some of them while it waits
-		lock.Lock()
+		r.Lock()
 		time.Sleep(10 * time.Microsecond)
-		lock.Unlock()
+		r.Unlock()
 	}
 	send(t, peer, "text")
-	if text := testutil.Receive(t, read); text != "text" {
-		t.Errorf("got %q, want the text", text)
+	if err := testutil.Receive(t, read); err != nil || string(r.received) != "text" {
+		t.Errorf("got %q and error %v, want the text", r.received, err)
 	}
 }
 
@@ -104,7 +112,7 @@
 			if err := tt.cause(local, peer); err != nil {
 				t.Fatal(err)
 			}
-			read, passed, err := readLocked(local, &sync.Mutex{}, 4)
+			read, passed, err := readLocked(local, 4)
 			if read+passed != "" || !errors.Is(err, tt.want) {
 				t.Errorf("got %q, %q passed and error %v, want %v alone", read, passed, err, tt.want)
 			}
@@ -147,7 +155,7 @@
 // expectText verifies that the next bytes of a connection are "text", and are passed on.
 func expectText(t *testing.T, conn net.Conn) {
 	t.Helper()
-	if read, passed, err := readLocked(conn, &sync.Mutex{}, 8); read != "text" || passed != read || err != nil {
+	if read, passed, err := readLocked(conn, 8); read != "text" || passed != read || err != nil {
 		t.Errorf("got %q, %q passed and error %v, want the text", read, passed, err)
 	}
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -42,15 +42,13 @@
 	if err != nil {
 		return Closed
 	}
-	call, ok := peekCalls.Get().(*peekCall)
-	if !ok {
-		call = newPeekCall()
-	}
+	call := getPeekCall()
 	defer peekCalls.Put(call)
+	call.buffer = call.firstByte[:]
 	if raw.Control(call.run) != nil {
 		return Closed
 	}
-	return call.state
+	return receiveStateOf(call.n, call.err)
 }
 
 // PeekBytes copies the next bytes of a socket to a buffer, without blocking and without reading them. It returns their
@@ -60,28 +58,37 @@
 	if err != nil {
 		return 0
 	}
-	n := 0
-	controlErr := raw.Control(func(fd uintptr) { n, err = peekBytes(fd, buffer) })
-	if err != nil || controlErr != nil {
+	call := getPeekCall()
+	defer peekCalls.Put(call)
+	call.buffer = buffer
+	controlErr := raw.Control(call.run)
+	call.buffer = nil // drops the reference to the caller's memory
+	if call.err != nil || controlErr != nil {
 		return 0
 	}
-	return n
+	return call.n
 }
 
-// peekCalls holds unused peekCalls, so that Peek, which runs several times for each request, allocates none.
+// peekCalls holds unused peekCalls, so that Peek and PeekBytes, which run several times for each request, allocate
+// none.
 var peekCalls sync.Pool
 
-// peekCall is one call of peek, with its result.
+// peekCall is one call of peekBytes, with its result.
 type peekCall struct {
-	run    func(fd uintptr)
-	buffer [1]byte
-	state  ReceiveState
+	run       func(fd uintptr)
+	firstByte [1]byte // the buffer of Peek
+	buffer    []byte
+	n         int
+	err       error
 }
 
-func newPeekCall() *peekCall {
-	c := &peekCall{}
-	c.run = func(fd uintptr) { c.state = peek(fd, c.buffer[:]) }
-	return c
+func getPeekCall() *peekCall {
+	if call, ok := peekCalls.Get().(*peekCall); ok {
+		return call
+	}
+	call := &peekCall{}
+	call.run = func(fd uintptr) { call.n, call.err = peekBytes(fd, call.buffer) }
+	return call
 }
 
 // HasUnread reports whether a connection has bytes to read. It also reports true if that is unknown, so that no request
@@ -98,7 +105,7 @@
 		return err
 	}
 	var buffer [1]byte
-	return raw.Read(func(fd uintptr) bool { return peek(fd, buffer[:]) != Empty })
+	return raw.Read(func(fd uintptr) bool { return receiveStateOf(peekBytes(fd, buffer[:])) != Empty })
 }
 
 // PeerState describes a peer that waits for a response.
@@ -261,10 +268,8 @@
 	return syscallConn.SyscallConn()
 }
 
-// peek implements Peek for a file descriptor. It reads into a buffer, which must not be empty, without removing bytes
-// from the socket.
-func peek(fd uintptr, buffer []byte) ReceiveState {
-	n, err := peekBytes(fd, buffer)
+// receiveStateOf returns the state of the receive side from the result of peekBytes with a buffer that is not empty.
+func receiveStateOf(n int, err error) ReceiveState {
 	switch {
 	case errors.Is(err, syscall.EAGAIN):
 		return Empty
--- a/internal/testutil/config.go
+++ b/internal/testutil/config.go
@@ -25,11 +25,11 @@
 
 // Config returns an agent's configuration with SettingsJSON, the given address of discovery and the given entries of
 // the cached endpoint list (key known).
-func Config(t *testing.T, discovery string, entries ...string) *config.Config {
-	t.Helper()
+func Config(tb testing.TB, discovery string, entries ...string) *config.Config {
+	tb.Helper()
 	c, err := config.Parse([]byte(fmt.Sprintf(configFormat, discovery, strings.Join(entries, ","), SettingsJSON)))
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	return c
 }
