Read no next head, and evict no client, while a whole request waits

What callers saw: a request that was read whole and waited for memory could be refused for what is no fault of it: with 431 or 503 because of the next request's head, and with 503 as a client that has stalled.

Cause: net/http reads ahead as soon as a request is complete. While the request waited, its connection was still in phaseReading, so that this read went through readHead: it took the bytes for a head of the current request, judged them a second time, and set isAwaited, by which a client counts as one that the agent waits for.

Change: the progress of a request knows that net/http has parsed its head. From then on readHead leaves the bytes to the place that judges what follows a request, and isAwaited counts only within the body.

--- a/internal/frontend/connectionstate.go
+++ b/internal/frontend/connectionstate.go
@@ -78,6 +78,14 @@
 
 func (c *connection) isReading() bool { return c.isIn(phaseReading) }
 
+// isReadingHead reports whether the head of a request is being read. It is not while a request that is complete waits
+// to be served: the next head is read after its response.
+func (c *connection) isReadingHead() bool {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.state.phase == phaseReading && !c.state.request.isParsed
+}
+
 func (c *connection) isIn(p phase) bool {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
@@ -100,6 +108,20 @@
 	return true
 }
 
+// recordParsed records that net/http has parsed the head of the current request.
+func (c *connection) recordParsed() {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.state.request.isParsed = true
+}
+
+// isAwaited reports whether the agent waits for bytes of the current request. It does not if it reads ahead. The caller
+// holds the table's mutex.
+func (c *connection) isAwaited() bool {
+	request := &c.state.request
+	return request.isAwaited && (!request.isParsed || c.scanner.isWithinBody())
+}
+
 // recordParsedHead records the ID of the current request once net/http has parsed its head, and corrects what the head
 // said about the body. hasMore says whether bytes of the body were not read.
 func (c *connection) recordParsedHead(id string, hasMore bool) {
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -77,6 +77,7 @@
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connectionOf(r)
+	conn.recordParsed()
 	conn.scanner.startBody(r.ContentLength)
 	conn.recordParsedHead(knownRequestID(r), conn.scanner.bodyBytesRemaining() > 0)
 	_ = conn.SetWriteDeadline(time.Time{}) // that of the previous response; fails only if the connection is closed
--- a/internal/frontend/headreader.go
+++ b/internal/frontend/headreader.go
@@ -42,7 +42,7 @@
 //
 // A head is thus parsed only when it is complete, valid in size and paid for. Until then a slow client costs its bytes.
 func (c *connection) readHead() error {
-	for c.isReading() {
+	for c.isReadingHead() {
 		head := c.scanner.head()
 		if head.isParsed {
 			return nil
--- a/internal/frontend/reclaim.go
+++ b/internal/frontend/reclaim.go
@@ -140,7 +140,7 @@
 		if now.Sub(since) < patience {
 			return nil
 		}
-		if !c.state.request.isAwaited || !matches(c) {
+		if !c.isAwaited() || !matches(c) {
 			continue
 		}
 		if candidates++; candidates > maxEvictionCandidates {
--- a/internal/frontend/requestprogress.go
+++ b/internal/frontend/requestprogress.go
@@ -19,6 +19,7 @@
 	readBytes          int64         // bytes that were read
 	bytesSinceProgress int           // bytes that were read since the client last made progress
 	headAt             time.Time     // time at which the head was complete; zero before
+	isParsed           bool          // net/http has parsed the head, so that the next one belongs to another request
 	timeout            time.Duration // the client's timeout; 0: not known
 	bodyAt             time.Time     // time at which all bytes of the body had arrived; zero: not known
 	isQueued           bool          // the body waits in the socket, until it is complete
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -227,6 +227,13 @@
 	return s.state != scanHead || s.headLength > 0
 }
 
+// isWithinBody reports whether bytes of the current request's body were not added, or the scanner can't tell.
+func (s *requestScanner) isWithinBody() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state == scanBody || s.state == scanImpossible
+}
+
 // bytesBehindHead returns the number of bytes that were added behind a head whose body has an unknown length.
 func (s *requestScanner) bytesBehindHead() int {
 	s.mu.Lock()
