Log and count requests that may be cut

Cause: a request that got a 400 because of the bytes behind it showed at DEBUG only, and no line said whether it may have run before. An operator could not tell a client with wrong lengths from one without.

Change: "request may be cut" at INFO, with the ID, the age and whether the request was submitted, within the rate limit of the lines about clients' connections; such requests are counted with the rejected ones at the exit.

Result: TestEndsAreLogged has the case.

--- a/internal/frontend/connectionstate.go
+++ b/internal/frontend/connectionstate.go
@@ -344,6 +344,13 @@
 	return time.Since(c.state.request.startedAt), c.state.request.readBytes
 }
 
+// requestAge returns the ID of the current request, empty if it is not known, and the time since its first byte.
+func (c *connection) requestAge() (id string, age time.Duration) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.state.requestID, time.Since(c.state.request.startedAt)
+}
+
 // unanswered returns the state of a request of which bytes were read and which has no response. It is called when the
 // connection has left the given phase in order to close. It reports false if there is none.
 func (c *connection) unanswered(previous phase) (request unansweredRequest, ok bool) {
--- a/internal/frontend/ends_test.go
+++ b/internal/frontend/ends_test.go
@@ -201,6 +201,8 @@
 			c.rejectCurrent()
 			c.writeRejection(http.StatusRequestTimeout, closeTimedOut)
 		}, []string{`"incomplete request rejected"`, "status=408", `reason="request timed out"`, "read=3", "unread=0"}},
+		{"cut", func(_ *testing.T, c *connection, _ net.Conn) { c.logIfCut(errFollowedByOtherBytes, true) },
+			[]string{`"request may be cut"`, "id=" + id, "submitted=true", "bytes behind a request"}},
 		{"client left", func(t *testing.T, c *connection, client net.Conn) {
 			t.Helper()
 			_ = client.Close() // an error does not affect the test
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -117,18 +117,21 @@
 // turned out to be cut in the meantime. memory is held by the caller until the response is written, and by the loop
 // until the request and its attempts are finished.
 func (h *handler) handleRequest(r *http.Request, memory *membudget.Reservation) (Response, error) {
+	conn := connectionOf(r)
 	request, err := h.readRequest(r, memory)
 	if err != nil {
+		conn.logIfCut(err, false)
 		return Response{}, asRequestError(err)
 	}
 	memory.Hold()
 	h.loop.Submit(request)
 	response, err := h.waitForResponse(r, request)
 	response.writeUntil = h.clock.ToTime(request.Deadline).Add(h.timeouts.ResponseWrite)
-	if err != nil {
-		return response, err
+	if err == nil {
+		err = conn.validateFollowing()
 	}
-	return response, connectionOf(r).validateFollowing()
+	conn.logIfCut(err, true)
+	return response, err
 }
 
 // writeDeadline returns the time by which a client must have read a response. It leaves some time for the write itself.
--- a/internal/frontend/log.go
+++ b/internal/frontend/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -29,6 +30,7 @@
 	closeNoRequest        closeReason = "bytes start no request"
 	closeHeadTooLong      closeReason = "head too long or too many fields"
 	closeNoMemory         closeReason = "no memory for the request"
+	closeCutRequest       closeReason = "bytes behind a request start no other request"
 	closeClientGone       closeReason = "client has closed its connection or its sending side"
 	closeClientReset      closeReason = "client has reset its connection"
 	closeUnknown          closeReason = "not known"
@@ -150,6 +152,23 @@
 	return closeUnknown
 }
 
+// logIfCut logs that a request gets an error because of the bytes behind it, if err says so. isSubmitted says whether
+// the request may have been forwarded.
+func (c *connection) logIfCut(err error, isSubmitted bool) {
+	if !errors.Is(err, errFollowedByOtherBytes) {
+		return
+	}
+	ends := c.table.ends
+	ends.count(ends.rejected, closeCutRequest)
+	allowed, dropped := ends.limiter.Allow()
+	if !allowed {
+		return
+	}
+	id, age := c.requestAge()
+	ends.log.Info(telemetry.MsgRequestCut, telemetry.Request(id), "client", c.RemoteAddr().String(),
+		"age", age, "submitted", isSubmitted, telemetry.Dropped(dropped))
+}
+
 // logRefusal logs that a request is answered with an error before it is submitted, or that it is dropped because its
 // client has disconnected.
 func (h *handler) logRefusal(r *http.Request, err error) {
--- a/internal/telemetry/messages.go
+++ b/internal/telemetry/messages.go
@@ -26,6 +26,7 @@
 	MsgClientLeft               = "client left before its response"
 	MsgRequestUnanswered        = "connection closed without a response"
 	MsgRequestRefused           = "request refused"
+	MsgRequestCut               = "request may be cut"
 	MsgMemoryShort              = "memory budget exhausted"
 	MsgMemoryUsage              = "memory budget usage"
 	MsgMalformedResponse        = "malformed response"
