Withhold keyed repeats where a lost connection shows that the process may be another one

Cause: repeats stay away from an address for 6 s after a connection to it has broken, but only outcomes of attempts told the balancer. The pool found idle connections reset, closed them and dialed the new process.

Change: the pool records each connection that an endpoint has closed, reset or refused, and reports those lost while idle (ConnectionLost). A repeat that only a zone or cell deduplicates says so (Send.SameProcess); the attempt asks the pool before its dial and right before its first byte, and is withheld within 6 s of a loss. It never ran, and may be retried elsewhere.

--- a/balancer/actions.go
+++ b/balancer/actions.go
@@ -28,6 +28,9 @@
 	Timeout           time.Duration // timeout of the attempt; 0: until the client stops waiting
 	NotAfter          time.Duration // latest time at which the attempt may start; 0: no bound
 	Reuse             ReuseTerms    // terms on which the attempt may reuse a connection
+	// SameProcess means that the attempt is safe only at the process that the endpoint list names. It is Withheld if
+	// another one may have come up at the address: a connection to the endpoint was lost within MaxNoticeDelay.
+	SameProcess bool
 }
 
 // Cancel cancels an attempt. The agent still passes its Outcome.
--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -62,7 +62,7 @@
 		b.rejectOrFail(r)
 		return
 	}
-	notAfter := r.dedupWindowEnd() // computed before this attempt is added
+	notAfter, sameProcess := r.dedupWindowEnd(), r.isBoundToScope() // before this attempt is added
 	a := newAttempt(r, ep, b.now, !ep.isConnected(b.now, b.settings.IdleClose))
 	r.addAttempt(a)
 	b.endpoints.markObserved(ep)
@@ -75,10 +75,11 @@
 		b.slowStart.scheduleNextPermit(ep, b.now, a.expectedLatencyNs, b.fleet)
 	}
 	b.addAction(Send{
-		Request:  r.id,
-		Endpoint: ep.ID,
-		NotAfter: notAfter,
-		Reuse:    b.reuse.terms(b.now, r.expectedLatencyNs()),
+		Request:     r.id,
+		Endpoint:    ep.ID,
+		NotAfter:    notAfter,
+		Reuse:       b.reuse.terms(b.now, r.expectedLatencyNs()),
+		SameProcess: sameProcess,
 	})
 	r.timerToken = 0 // the timer set while it was queued no longer applies
 	b.scheduleHedge(r)
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -120,6 +120,16 @@
 		b.handleAbandoned(event)
 	case UnrequestedBytes:
 		b.reuse.recordUnrequestedBytes(b.now, event.After)
+	case ConnectionLost:
+		b.handleConnectionLost(event)
+	}
+}
+
+// handleConnectionLost records that the process of an endpoint may have ended. Endpoints also close idle
+// connections for other reasons, so that only repeats that depend on the process are affected.
+func (b *Balancer) handleConnectionLost(event ConnectionLost) {
+	if ep := b.endpoints.byID[event.Endpoint]; ep != nil {
+		ep.connection.recordBroken(b.now)
 	}
 }
 
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -74,10 +74,10 @@
 
 // mayHaveBeenReplaced reports whether another process, in another zone or cell, may have come up at the
 // address of the endpoint: a connection to it broke or failed, and no list has named it since. Any such
-// change is listed within maxNoticeDelay.
+// change is listed within MaxNoticeDelay.
 func (ep *endpoint) mayHaveBeenReplaced(now time.Duration) bool {
 	broken := &ep.connection
-	return broken.hasBroken && broken.brokenAt >= ep.listedAt && now-broken.brokenAt < maxNoticeDelay
+	return broken.hasBroken && broken.brokenAt >= ep.listedAt && now-broken.brokenAt < MaxNoticeDelay
 }
 
 // isUsable reports whether the capacity of the endpoint counts as part of the fleet's.
@@ -95,8 +95,8 @@
 	brokenAt              time.Duration // time of the latest such event
 }
 
-// maxNoticeDelay is the maximum time until a change of an endpoint is listed.
-const maxNoticeDelay = 6 * time.Second
+// MaxNoticeDelay is the maximum time until a change of an endpoint is listed.
+const MaxNoticeDelay = 6 * time.Second
 
 // recordBroken records that a connection has broken, or could not be established.
 func (c *connectionState) recordBroken(now time.Duration) { c.hasBroken, c.brokenAt = true, now }
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -14,6 +14,7 @@
 func (TimerFired) event()        {}
 func (GossipMessage) event()     {}
 func (UnrequestedBytes) event()  {}
+func (ConnectionLost) event()    {}
 
 // EndpointState is the state of an endpoint in the endpoint list.
 type EndpointState uint8
@@ -97,6 +98,7 @@
 	Cancelled                   // the attempt was cancelled; may have run
 	NotSent                     // the attempt was never sent; never ran
 	LocalFailure                // no connection, possibly because of a fault of this machine; never ran
+	Withheld                    // the endpoint's process may have been replaced (Send.SameProcess); never ran
 )
 
 // resultNames are the names of the results, as they appear in logs.
@@ -110,6 +112,7 @@
 	Cancelled:     "cancelled",
 	NotSent:       "not sent",
 	LocalFailure:  "local failure",
+	Withheld:      "withheld",
 }
 
 // String implements fmt.Stringer.
@@ -123,7 +126,12 @@
 // NeverRan reports whether an attempt with this result had no effect. It assumes that
 // Settings.RejectedMayHaveRun is false; see [Settings.MayHaveRun].
 func (r Result) NeverRan() bool {
-	return r == Rejected || r == ConnectFailed || r == NotSent || r == LocalFailure
+	switch r {
+	case Rejected, ConnectFailed, NotSent, LocalFailure, Withheld:
+		return true
+	case Served, ServerError, TimedOut, Reset, Cancelled:
+	}
+	return false
 }
 
 // MayStillRun reports whether the attempt may still be running after this result.
@@ -168,6 +176,10 @@
 	After    time.Duration // time from the last response on the connection to the bytes, at least half of it
 }
 
+// ConnectionLost reports that an endpoint has closed or reset a connection without a request in flight. Its process may
+// have ended.
+type ConnectionLost struct{ Endpoint string }
+
 // GossipMessage is a message from another agent.
 type GossipMessage struct {
 	From int // number of the sending agent
--- a/balancer/idempotency.go
+++ b/balancer/idempotency.go
@@ -37,7 +37,7 @@
 		return true
 	case IdempotentWithKey:
 		return rules.isWithinDedupWindow(r, now) && r.isInDedupScope(ep) &&
-			(r.class.DedupScope == DedupEverywhere || !ep.mayHaveBeenReplaced(now))
+			(!r.isBoundToScope() || !ep.mayHaveBeenReplaced(now))
 	case NotIdempotent:
 		return false
 	}
@@ -50,6 +50,11 @@
 	return now-r.firstMayHaveRun.sentAt < r.class.DedupWindow-rules.connectTimeout
 }
 
+// isBoundToScope reports whether the next attempt of r is a repeat that only a part of the endpoints drops.
+func (r *request) isBoundToScope() bool {
+	return r.class.Idempotency == IdempotentWithKey && r.mayHaveRunCount > 0 && r.class.DedupScope != DedupEverywhere
+}
+
 // isInDedupScope reports whether an endpoint drops a repeat of the first attempt that may have run.
 func (r *request) isInDedupScope(ep *endpoint) bool {
 	first := r.firstMayHaveRun.endpoint
--- a/balancer/idempotency_test.go
+++ b/balancer/idempotency_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -62,6 +63,15 @@
 			h.advance(ms)
 			h.step(balancer.EndpointList{Kind: balancer.ListDelta, Endpoints: endpoints(1)})
 		}, true},
+		{"lost while idle", keyedInCell, balancer.ServerError, loseConnection, false},
+		{"lost while idle, all endpoints know the key", keyedEverywhere, balancer.ServerError, loseConnection, true},
+		{"lost while idle, later than any notice", keyedInCell, balancer.ServerError, func(h *harness) {
+			loseConnection(h)
+			h.advance(7 * time.Second)
+		}, true},
+		{"another endpoint's lost while idle", keyedInCell, balancer.ServerError, func(h *harness) {
+			h.step(balancer.ConnectionLost{Endpoint: "unknown"})
+		}, true},
 		{"later than any notice", keyedInCell, balancer.Reset, func(h *harness) { h.advance(7 * time.Second) }, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -85,6 +95,49 @@
 	h.advance(ms)
 }
 
+// loseConnection reports that the only endpoint has closed an idle connection.
+func loseConnection(h *harness) { h.step(balancer.ConnectionLost{Endpoint: "a"}) }
+
+// An attempt that was withheld never ran. It is retried at another endpoint of the deduplication scope, if there is
+// one, and not at its own.
+func TestWithheldAttemptIsRetriedElsewhere(t *testing.T) {
+	for seed := range uint64(20) {
+		h := newHarness(t, settings(), seed, endpoints(2)) // in one cell
+		h.request("q", keyedInCell)
+		h.outcomeAfter("q", balancer.ServerError, ms)
+		h.advance(200 * ms)
+		actions := h.outcomeAfter("q", balancer.Withheld, ms)
+		actions = append(actions, h.advance(200*ms)...)
+		verifyNotSentAgain(t, h.sent["q"], 1)
+		if answer := finalAnswer("q", actions); answer == "reject" {
+			t.Errorf("seed %d: got a rejection of a request that may have run", seed)
+		}
+	}
+}
+
+// verifyNotSentAgain verifies that no attempt after the one with the given number was sent to the same endpoint.
+func verifyNotSentAgain(t *testing.T, sent []string, number int) {
+	t.Helper()
+	if len(sent) <= number || slices.Contains(sent[number+1:], sent[number]) {
+		t.Errorf("got attempts %v, want none at the endpoint of attempt %d after that", sent, number)
+	}
+}
+
+// A repeat says that it depends on the process of its endpoint if not all endpoints would drop it.
+func TestRepeatsDependOnProcess(t *testing.T) {
+	for class, want := range map[int]bool{
+		idempotent: false, keyedEverywhere: false, keyedInZone: true, keyedInCell: true,
+	} {
+		h := newHarness(t, settings(), 1, endpoints(4))
+		actions := h.request("q", class)
+		h.outcomeAfter("q", balancer.ServerError, 10*ms)
+		sends := sendsOf(append(actions, h.advance(200*ms)...))
+		if len(sends) != 2 || sends[0].SameProcess || sends[1].SameProcess != want {
+			t.Errorf("class %d: got %+v, want two attempts, the second one with SameProcess %v", class, sends, want)
+		}
+	}
+}
+
 // A request with an idempotency key that may have run is repeated only within its deduplication window.
 // Establishing a connection may take up to the connect timeout, so that the repeat must be sent that much
 // earlier.
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -74,6 +74,8 @@
 		b.handleAttemptTimedOut(r, a, outcome.Latency)
 	case ServerError, Reset, ConnectFailed:
 		b.handleAttemptFailed(r, a, outcome)
+	case Withheld:
+		a.endpoint.connection.recordBroken(b.now)
 	case Cancelled, NotSent, LocalFailure:
 	}
 }
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -272,7 +272,7 @@
 	}
 }
 
-var constantRow = regexp.MustCompile("(?m)^\\| `([a-z]\\w*)` \\| `([^`]+)` \\|")
+var constantRow = regexp.MustCompile("(?m)^\\| `([a-zA-Z]\\w*)` \\| `([^`]+)` \\|")
 
 // The tables of CAPACITY.md have each untyped constant of the decision module, enumerations aside, with its value.
 func TestConstantsAreDocumented(t *testing.T) {
--- a/internal/agent/attempts.go
+++ b/internal/agent/attempts.go
@@ -58,6 +58,8 @@
 		Number:   number,
 		Deadline: l.clock.ToTime(deadline),
 		Reuse:    action.Reuse,
+
+		SameProcess: action.SameProcess,
 	}
 	if action.NotAfter > 0 {
 		options.NotAfter = l.clock.ToTime(action.NotAfter)
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -103,7 +103,7 @@
 		ConnectTimeout:      c.Settings.ConnectTimeout,
 		EndpointIdleTimeout: c.Settings.IdleClose,
 		MaxConnections:      c.MaxEndpointConnections(),
-		OnUnrequestedBytes:  func(event balancer.UnrequestedBytes) { l.post(moduleEvent{event}) },
+		OnEvent:             func(event balancer.Event) { l.post(moduleEvent{event}) },
 		Log:                 l.log,
 	}
 }
--- a/internal/testutil/listen.go
+++ b/internal/testutil/listen.go
@@ -11,7 +11,13 @@
 // Listen listens on a loopback port chosen by the system until the test ends.
 func Listen(t *testing.T) net.Listener {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return ListenAt(t, "127.0.0.1:0")
+}
+
+// ListenAt listens on an address until the test ends.
+func ListenAt(t *testing.T, addr string) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/testutil/server.go
+++ b/internal/testutil/server.go
@@ -28,8 +28,34 @@
 // when the test ends.
 func NewServer(t *testing.T, handle func(net.Conn, *http.Request, []byte) bool) *Server {
 	t.Helper()
+	return newServer(Listen(t), handle)
+}
+
+// NewServerAt starts a server on an address, which may be that of a server that has ended.
+func NewServerAt(t *testing.T, addr string, handle func(net.Conn, *http.Request, []byte) bool) *Server {
+	t.Helper()
+	return newServer(ListenAt(t, addr), handle)
+}
+
+// Reset closes the listener and resets all connections, as the end of a process does.
+func (s *Server) Reset(t *testing.T) {
+	t.Helper()
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.conns {
+		if tcpConn, ok := conn.(*net.TCPConn); ok {
+			_ = tcpConn.SetLinger(0) // fails if the connection is closed
+		}
+		_ = conn.Close() // an error means that it is closed
+	}
+}
+
+func newServer(listener net.Listener, handle handlerFunc) *Server {
 	s := &Server{
-		Listener: Listen(t),
+		Listener: listener,
 		handle:   handle,
 		Received: make(chan *http.Request, eventBuffer),
 		Closed:   make(chan struct{}, eventBuffer),
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -31,6 +31,8 @@
 	Deadline time.Time           // time by which the attempt must have finished
 	NotAfter time.Time           // latest start of the attempt; zero means no limit
 	Reuse    balancer.ReuseTerms // terms on which the attempt may reuse a connection
+
+	SameProcess bool // see balancer.Send
 }
 
 // allowsStart reports whether an attempt may start now.
@@ -49,11 +51,18 @@
 	stopAfterFunc := context.AfterFunc(request.Lifetime, cancelDial)
 	defer stopAfterFunc()
 	label := exchangeLabel{requestID: request.ID, attempt: options.Number, endpointID: endpointID}
+	if options.SameProcess && c.pool.mayHaveBeenReplaced(endpointID) { // spares a dial
+		return c.withhold(label)
+	}
 	conn, failure := c.connect(dialCtx, endpointID, options.Deadline, options.Reuse.MinIdle)
 	if failure != nil {
 		c.logUnsent(label, failure.result, failure)
 		return failure.result, unsentResponse(failure)
 	}
+	if options.SameProcess && c.pool.mayHaveBeenReplaced(endpointID) {
+		c.pool.release(conn)
+		return c.withhold(label)
+	}
 	// The request may have finished during the dial. Nothing blocks between this check and the write of the request.
 	if err := validateStart(ctx, request, options); err != nil {
 		c.pool.release(conn)
@@ -65,6 +74,12 @@
 	return c.sendOn(ctx, conn, label, newForwardedRequest(request, options.Deadline), limits)
 }
 
+// withhold returns the result of an attempt that may be sent to the listed process only, which may have been replaced.
+func (c *Client) withhold(label exchangeLabel) (balancer.Result, Response) {
+	c.logUnsent(label, balancer.Withheld, errMayBeReplaced)
+	return balancer.Withheld, unsentResponse(errMayBeReplaced)
+}
+
 // validateStart returns an error if an attempt must not be sent now.
 func validateStart(ctx context.Context, request *Request, options AttemptOptions) error {
 	if err := request.validate(); err != nil {
@@ -146,6 +161,9 @@
 		return conn, nil
 	}
 	result := classifyDialError(ctx, err)
+	if result == balancer.ConnectFailed {
+		c.pool.losses.record(entry.ID, time.Now())
+	}
 	if result == balancer.ConnectFailed && socket.IsTimeout(err) {
 		// The machine does not respond, so idle connections to it are presumed dead too. A dial that was cut short by
 		// the request's deadline looks the same; closing connections then only costs handshakes.
@@ -198,12 +216,20 @@
 	c.logExchange(label, snapshot, result, outcome)
 	c.finishExchange(conn, outcome)
 	if !outcome.isNoResponse() {
+		c.recordLoss(snapshot.endpointID, result)
 		c.closeDeadConnections(snapshot, result)
 	}
 	c.logUnexpectedResponse(snapshot.endpointID, result, outcome.response)
 	return result, outcome.response
 }
 
+// recordLoss records that the connection of an exchange has broken, if its result says so.
+func (c *Client) recordLoss(endpointID string, result balancer.Result) {
+	if result == balancer.Reset || result == balancer.ConnectFailed {
+		c.pool.losses.record(endpointID, time.Now())
+	}
+}
+
 // finishExchange returns the connection of an exchange to the pool, or closes it.
 func (c *Client) finishExchange(conn *connection, outcome exchangeOutcome) {
 	switch {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -35,10 +35,11 @@
 	ConnectTimeout      time.Duration             // timeout of a dial; base of the health check and stall timeouts
 	EndpointIdleTimeout time.Duration             // idle timeout of the endpoints; 0 means that they have none
 	MaxConnections      int                       // maximum number of connections to all endpoints; 0 means no limit
-	// OnUnrequestedBytes is called, on any goroutine, when a connection is closed because of bytes that belong to no
-	// request. It may block. It may be nil.
-	OnUnrequestedBytes func(balancer.UnrequestedBytes)
-	Log                *slog.Logger
+	// OnEvent is called, on any goroutine, when a connection without a request in flight is closed because of bytes
+	// that belong to no request (balancer.UnrequestedBytes), or by its endpoint (balancer.ConnectionLost). It may
+	// block. It may be nil.
+	OnEvent func(balancer.Event)
+	Log     *slog.Logger
 	// DialControl is the Control function of the net.Dialer. It may be nil.
 	DialControl func(network, address string, conn syscall.RawConn) error
 }
@@ -61,7 +62,7 @@
 	}
 	pool := newPool(idleTimeout, options.ConnectTimeout, options.MaxConnections, options.Log)
 	pool.dialer.Control = options.DialControl
-	pool.onUnrequestedBytes = options.OnUnrequestedBytes
+	pool.onEvent = options.OnEvent
 	return &Client{
 		pool:               pool,
 		table:              options.Table,
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -12,6 +12,8 @@
 	errNotServing = errors.New("endpoint is not serving")
 	// errTooLate means that too little time is left to start an attempt.
 	errTooLate = errors.New("too late to start")
+	// errMayBeReplaced means that another process may have come up at the address of an endpoint.
+	errMayBeReplaced = errors.New("the endpoint's process may have been replaced")
 	// errPoolExhausted means that the pool has reached its connection limit and all connections are in use.
 	errPoolExhausted = errors.New("connection pool exhausted")
 	// errUnrequestedBytes means that bytes arrived on a connection before its request could have reached the endpoint.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -27,16 +27,15 @@
 	maxConnections int           // maximum of openCount; 0 means no limit
 	dialer         socket.Dialer
 	log            *slog.Logger
-	// onUnrequestedBytes is called, without the mutex, when a connection is closed because of bytes that belong to no
-	// request. It may be nil.
-	onUnrequestedBytes func(balancer.UnrequestedBytes)
+	onEvent        func(balancer.Event) // see Options.OnEvent; called without the mutex
+	losses         *connectionLosses
 
 	mu         sync.Mutex                // protects the fields below and the groups
 	openCount  int                       // number of connections that are idle, in use or being dialed
 	groups     map[string]*endpointGroup // groups with openCount > 0 that are not draining, by endpoint ID
 	sweepAt    time.Time                 // time of the next sweep; zero: none is scheduled
 	sweepTimer *time.Timer               // runs sweep; nil before the first one is scheduled
-	unreported []balancer.UnrequestedBytes
+	unreported []balancer.Event          // events for onEvent
 
 	// These counts are safe for concurrent use.
 	dials, exchanges, reuses, unrequestedBytes atomic.Int64
@@ -56,6 +55,7 @@
 		maxConnections: maxConnections,
 		log:            log,
 		dialer:         socket.Dialer{Dialer: net.Dialer{Timeout: connectTimeout, KeepAlive: -1}},
+		losses:         newConnectionLosses(),
 		groups:         map[string]*endpointGroup{},
 	}
 }
@@ -204,14 +204,14 @@
 	p.closeLocked(conn, reason)
 }
 
-// unlockAndReport releases p.mu and then reports the unrequested bytes that were found while it was held.
+// unlockAndReport releases p.mu and then reports the events that occurred while it was held.
 func (p *pool) unlockAndReport() {
 	unreported := p.unreported
 	p.unreported = nil
 	p.mu.Unlock()
 	for _, event := range unreported {
-		if p.onUnrequestedBytes != nil {
-			p.onUnrequestedBytes(event)
+		if p.onEvent != nil {
+			p.onEvent(event)
 		}
 	}
 }
@@ -224,6 +224,10 @@
 	} else if p.log.Enabled(context.Background(), slog.LevelDebug) {
 		p.log.Debug(telemetry.MsgConnectionClosed, append(connectionAttrs(conn), "reason", string(reason))...)
 	}
+	if reason == closeEndedByEndpoint && !conn.group.draining {
+		p.losses.record(conn.endpointID(), time.Now())
+		p.unreported = append(p.unreported, balancer.ConnectionLost{Endpoint: conn.endpointID()})
+	}
 	_ = conn.netConn.Close() // no data is left to be written
 	p.decrementOpenLocked(conn.group)
 }
@@ -261,6 +265,7 @@
 // drain closes the idle connections to an endpoint at once, and the connections in use when they are released. It is
 // called when the endpoint is draining, was removed, was restarted or has a new address.
 func (p *pool) drain(endpointID string) {
+	p.losses.forget(endpointID)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if group := p.groups[endpointID]; group != nil {
--- a/internal/upstream/sweep.go
+++ b/internal/upstream/sweep.go
@@ -54,6 +54,27 @@
 	}
 }
 
+// mayHaveBeenReplaced reports whether another process may have come up at the address of an endpoint. It examines all
+// idle connections to the endpoint, due or not.
+func (p *pool) mayHaveBeenReplaced(endpointID string) bool {
+	p.closeEnded(endpointID)
+	return p.losses.mayHaveBeenReplaced(endpointID, time.Now())
+}
+
+// closeEnded closes the idle connections to an endpoint that are not usable any more.
+func (p *pool) closeEnded(endpointID string) {
+	p.mu.Lock()
+	defer p.unlockAndReport()
+	group := p.groups[endpointID]
+	if group == nil {
+		return
+	}
+	for _, conn := range group.idle {
+		conn.examineAt = time.Time{}
+	}
+	p.sweepGroupLocked(group, time.Now())
+}
+
 // sweepGroupLocked examines the idle connections of a group that are due. The caller holds p.mu.
 func (p *pool) sweepGroupLocked(group *endpointGroup, now time.Time) {
 	kept := group.idle[:0]
--- a/internal/upstream/unrequested_test.go
+++ b/internal/upstream/unrequested_test.go
@@ -154,7 +154,11 @@
 	server := testutil.NewServer(t, testutil.Echo)
 	client := newTestClient(t, server.Addr())
 	reports := make(chan balancer.UnrequestedBytes, 1)
-	client.pool.onUnrequestedBytes = func(report balancer.UnrequestedBytes) { reports <- report }
+	client.pool.onEvent = func(event balancer.Event) {
+		if report, ok := event.(balancer.UnrequestedBytes); ok {
+			reports <- report
+		}
+	}
 	startedAt := time.Now()
 	client.mustServe(t)
 	request := testutil.Receive(t, server.Received)
