Count the timeout of a long request from the arrival of its last byte

Cause: where a body was found whole in the socket, or was read in parts, the time of that look counted as its arrival. Only heads of connections from the accept queue, and bodies that had waited for memory, asked the system.

Change: the system's time of the last received bytes counts for each body that was not read together with its head.

--- a/internal/frontend/bodywait.go
+++ b/internal/frontend/bodywait.go
@@ -25,7 +25,7 @@
 		state := socket.Queued(c.Conn)
 		switch progress := int64(state.Bytes) - queued; {
 		case int64(state.Bytes) >= remaining:
-			c.recordBody(time.Now())
+			c.recordBody(c.lastReceivedAt(time.Now()))
 			return nil
 		case state.Closed:
 			return net.ErrClosed
@@ -82,9 +82,9 @@
 	}
 }
 
-// recordBody records that all bytes of the body have arrived.
-func (c *connection) recordBody(now time.Time) {
+// recordBody records the time at which all bytes of the body had arrived.
+func (c *connection) recordBody(at time.Time) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
-	c.state.request.bodyAt = now
+	c.state.request.bodyAt = at
 }
--- a/internal/frontend/connectionstate.go
+++ b/internal/frontend/connectionstate.go
@@ -140,14 +140,12 @@
 	return c.state.pipelined > maxPipelined
 }
 
-// arrivalTimes returns the times at which the head and the body of the current request had arrived, and whether the
-// request has waited for memory since. The times are zero if they are not known. That of the head is not if it was read
-// together with the previous request.
-func (c *connection) arrivalTimes() (headAt, bodyAt time.Time, hasWaited bool) {
+// arrivalTimes returns the times at which the head and the body of the current request had arrived. They are zero if
+// they are not known. That of the head is not if it was read together with the previous request.
+func (c *connection) arrivalTimes() (headAt, bodyAt time.Time) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
-	request := &c.state.request
-	return request.headAt, request.bodyAt, request.hasWaited
+	return c.state.request.headAt, c.state.request.bodyAt
 }
 
 // setAwaited records whether the agent waits for bytes of the client.
@@ -162,7 +160,6 @@
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	now := time.Now()
-	c.state.request.hasWaited = true
 	if isWaiting {
 		c.state.request.waitingSince = now
 		c.table.waiting.add(c, now)
--- a/internal/frontend/memory.go
+++ b/internal/frontend/memory.go
@@ -152,27 +152,30 @@
 // headArrival returns the time at which a request without a body arrived. now is the time if it is unknown because the
 // head was read together with the previous request.
 func (c *connection) headArrival(now time.Time) time.Time {
-	if headAt, _, _ := c.arrivalTimes(); !headAt.IsZero() {
+	if headAt, _ := c.arrivalTimes(); !headAt.IsZero() {
 		return headAt
 	}
 	return now
 }
 
-// bodyArrival returns the time at which the last byte of a body arrived, which has just been read. If the request has
-// waited for memory, the byte may have been in the socket for some time.
+// bodyArrival returns the time at which the last byte of a body arrived, which has just been read.
 func (c *connection) bodyArrival(now time.Time) time.Time {
-	headAt, bodyAt, hasWaited := c.arrivalTimes()
-	if !bodyAt.IsZero() {
+	if _, bodyAt := c.arrivalTimes(); !bodyAt.IsZero() {
 		return bodyAt
 	}
-	if !hasWaited {
-		return now
-	}
-	arrivedAt := now.Add(-socket.SinceReceived(c.Conn))
-	if arrivedAt.Before(headAt) {
+	return c.lastReceivedAt(now)
+}
+
+// lastReceivedAt returns the time at which the last bytes of the current request were received, if it is complete. They
+// may have been in the socket for some time: the request may have waited for a slot or for memory, or the agent may
+// have been held up.
+func (c *connection) lastReceivedAt(now time.Time) time.Time {
+	headAt, _ := c.arrivalTimes()
+	receivedAt := now.Add(-socket.SinceReceived(c.Conn))
+	if receivedAt.Before(headAt) {
 		return headAt
 	}
-	return arrivedAt
+	return receivedAt
 }
 
 // releaseMemory releases the memory of net/http and of a request that is being read.
--- a/internal/frontend/memory_test.go
+++ b/internal/frontend/memory_test.go
@@ -330,6 +330,20 @@
 // The timeout of a request counts from its last byte, also if its connection has waited in the accept queue since.
 func TestWaitForSlotCountsForTheDeadline(t *testing.T) {
 	t.Parallel()
+	for name, body := range map[string]string{
+		"none": "", "short": "body", "read in parts": strings.Repeat("x", 8<<10),
+		"long": strings.Repeat("x", longBodySize),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			verifyWaitForSlot(t, body)
+		})
+	}
+}
+
+// verifyWaitForSlot verifies that the arrival of a request with a body is not the end of its wait in the accept queue.
+func verifyWaitForSlot(t *testing.T, body string) {
+	t.Helper()
 	const held = 200 * time.Millisecond
 	config := testutil.Config(t, "127.0.0.1:1")
 	config.MaxDescriptors = 2 // 1 for clients
@@ -337,7 +351,7 @@
 	server, _ := startServer(t, config, func(r *Request) { submitted <- r }, reclaimImmediately)
 	testutil.Dial(t, server.Addr(), testutil.RawPost(id, ""))
 	holder := testutil.Receive(t, submitted)
-	text := testutil.RawPost(otherID, "Content-Length: 4\r\n") + "body"
+	text := testutil.RawPost(otherID, fmt.Sprintf("Content-Length: %d\r\n", len(body))) + body
 	testutil.Dial(t, server.Addr(), text) // waits in the accept queue
 	time.Sleep(held)
 	releasedAt := server.handler.clock.Now()
--- a/internal/frontend/requestprogress.go
+++ b/internal/frontend/requestprogress.go
@@ -27,7 +27,6 @@
 	isAwaited          bool          // the agent waits for bytes of the client
 	waitingSince       time.Time     // start of the wait for memory; zero: the request does not wait
 	waitedFor          time.Duration // sum of the waits for memory before
-	hasWaited          bool          // the request has waited for memory
 	bodyMemory         int64         // reserved bytes for the body
 }
 
