Count the timeout of a request that waited behind others from its arrival

Cause: a request that was read with the one before it, or that waited in the socket, counted as arrived when net/http parsed it. The system tells only when the last bytes of a connection came.

Change: while a request is open, each examination of its connection (before the submission and each attempt, every 100 ms, before the response) marks how much of the client's stream has arrived. A request that was whole by a mark counts as arrived at the last mark at which it was not: never later than it was, and at most one interval earlier.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -31,6 +31,7 @@
 	// slot; zero: it has not waited.
 	backlogSince time.Time
 	scanner      requestScanner
+	arrivals     arrivalMarks
 	unread       []byte          // read from the socket, but not by the caller of Read; maxUnread bytes at most
 	state        connectionState // guarded by table.mu
 }
--- a/internal/frontend/following.go
+++ b/internal/frontend/following.go
@@ -23,20 +23,25 @@
 // validateOpenRequest returns an error if the current request, which is complete, must not be forwarded or no longer
 // needs a response. It is safe for concurrent use.
 func (c *connection) validateOpenRequest() error {
-	switch peer := socket.Peer(c.Conn); {
+	peer := c.examinePeer()
+	switch {
 	case peer.Closed:
 		return errDisconnected
 	case peer.Flooded:
 		return errTooMuchUnread
-	case !peer.HasUnread && !c.scanner.hasFollowing(): // saves a system call
-		return nil
 	}
-	return c.validateFollowing()
+	return c.validateUnread(peer.Unread)
 }
 
 // validateFollowing returns an error if the bytes that have arrived behind the current request start no other request.
 // It is safe for concurrent use.
-func (c *connection) validateFollowing() error {
+func (c *connection) validateFollowing() error { return c.validateUnread(c.examineUnread()) }
+
+// validateUnread implements validateFollowing. unread is the number of bytes that wait in the socket.
+func (c *connection) validateUnread(unread int) error {
+	if unread == 0 && !c.scanner.hasFollowing() { // saves a system call
+		return nil
+	}
 	if c.scanner.isFollowedByOther(c) {
 		return errFollowedByOtherBytes
 	}
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -165,7 +165,7 @@
 // readRequest reads a complete request. The client's timeout counts from the last byte of the request.
 func (h *handler) readRequest(r *http.Request, memory *membudget.Reservation) (*Request, error) {
 	conn := connectionOf(r)
-	arrived := conn.headArrival(time.Now())
+	readAt := time.Now()
 	if err := validateFraming(r); err != nil {
 		return nil, err
 	}
@@ -181,8 +181,9 @@
 		if request.Body, err = readBody(r, conn, memory); err != nil {
 			return nil, err
 		}
-		arrived = conn.bodyArrival(time.Now())
+		readAt = time.Now()
 	}
+	arrived := conn.arrival(r.ContentLength > 0, readAt)
 	if !conn.startResponse() {
 		return nil, errRejectedIncomplete
 	}
--- a/internal/frontend/headreader.go
+++ b/internal/frontend/headreader.go
@@ -124,21 +124,6 @@
 	return nil
 }
 
-// receivedAt returns the time at which the head that has just been read was received. The first one of a connection
-// that has waited in the accept queue may have been received long before.
-func (c *connection) receivedAt() time.Time {
-	now := time.Now()
-	if c.backlogSince.IsZero() {
-		return now
-	}
-	receivedAt := now.Add(-socket.SinceReceived(c.Conn))
-	if receivedAt.Before(c.backlogSince) {
-		receivedAt = c.backlogSince
-	}
-	c.backlogSince = time.Time{}
-	return receivedAt
-}
-
 // The parameters for parsing a number of a head.
 const (
 	decimalBase       = 10
--- a/internal/frontend/memory.go
+++ b/internal/frontend/memory.go
@@ -8,7 +8,6 @@
 
 	"ashshunt/internal/config"
 	"ashshunt/internal/membudget"
-	"ashshunt/internal/socket"
 )
 
 // What a client's connection and its request cost, in bytes, apart from what they send.
@@ -149,35 +148,6 @@
 	return nil
 }
 
-// headArrival returns the time at which a request without a body arrived. now is the time if it is unknown because the
-// head was read together with the previous request.
-func (c *connection) headArrival(now time.Time) time.Time {
-	if headAt, _ := c.arrivalTimes(); !headAt.IsZero() {
-		return headAt
-	}
-	return now
-}
-
-// bodyArrival returns the time at which the last byte of a body arrived, which has just been read.
-func (c *connection) bodyArrival(now time.Time) time.Time {
-	if _, bodyAt := c.arrivalTimes(); !bodyAt.IsZero() {
-		return bodyAt
-	}
-	return c.lastReceivedAt(now)
-}
-
-// lastReceivedAt returns the time at which the last bytes of the current request were received, if it is complete. They
-// may have been in the socket for some time: the request may have waited for a slot or for memory, or the agent may
-// have been held up.
-func (c *connection) lastReceivedAt(now time.Time) time.Time {
-	headAt, _ := c.arrivalTimes()
-	receivedAt := now.Add(-socket.SinceReceived(c.Conn))
-	if receivedAt.Before(headAt) {
-		return headAt
-	}
-	return receivedAt
-}
-
 // releaseMemory releases the memory of net/http and of a request that is being read.
 func (c *connection) releaseMemory() {
 	handler, request := c.takeMemory()
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -46,6 +46,8 @@
 	// arrived is thus either added or unread.
 	mu sync.Mutex
 
+	added int64 // number of bytes that were added
+	end   int64 // position of the end of the current request among them, or of what will be added
 	// state is the part of a request to which the next byte belongs.
 	state scanState
 	// start holds the first bytes behind the current request, that is, those of the next head until its startBody.
@@ -89,13 +91,16 @@
 func (s *requestScanner) Unlock() { s.mu.Unlock() }
 
 // Receive implements socket.Receiver.
-func (s *requestScanner) Receive(p []byte) { s.addLocked(p) }
+func (s *requestScanner) Receive(p []byte) {
+	s.added += int64(len(p))
+	s.addLocked(p)
+}
 
 // add adds bytes that were read from the connection.
 func (s *requestScanner) add(p []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addLocked(p)
+	s.Receive(p)
 }
 
 // addLocked is add for callers that hold the mutex.
@@ -183,6 +188,7 @@
 		s.losePlace()
 		return
 	}
+	s.end = s.added - int64(len(s.unscanned)) + length
 	s.state, s.bodyRemaining, s.startLength = scanBody, length, 0
 	s.headLength, s.headLines, s.emptyLength = 0, 0, 0
 	behindHead := s.addBody(s.unscanned)
@@ -248,6 +254,22 @@
 	return int(s.bodyRemaining)
 }
 
+// requestEnd returns the position behind the current request in the client's stream. It reports false if the scanner
+// can't tell.
+func (s *requestScanner) requestEnd() (end int64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.end, s.state != scanImpossible
+}
+
+// arrivedBytes returns how many bytes of the client's stream have arrived. countUnread returns the number of those that
+// were not read.
+func (s *requestScanner) arrivedBytes(countUnread func() int) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.added + int64(countUnread())
+}
+
 // hasFollowing reports whether bytes behind the current request were added.
 func (s *requestScanner) hasFollowing() bool {
 	s.mu.Lock()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -110,9 +110,9 @@
 
 // PeerState describes a peer that waits for a response.
 type PeerState struct {
-	Closed    bool // the peer has closed its sending side or the whole connection, or the connection has failed
-	Flooded   bool // the peer has sent more than maxUnreadBytes after its request
-	HasUnread bool // bytes after its request wait in the socket
+	Closed  bool // the peer has closed its sending side or the whole connection, or the connection has failed
+	Flooded bool // the peer has sent more than maxUnreadBytes after its request
+	Unread  int  // bytes after its request that wait in the socket
 }
 
 // Peer returns the state of the peer. It also detects a close that follows unread bytes.
@@ -124,8 +124,8 @@
 	var state PeerState
 	err = raw.Control(func(fd uintptr) {
 		state.Closed = isHungUp(fd)
-		unread := queuedBytes(fd, unix.TIOCINQ)
-		state.HasUnread, state.Flooded = unread > 0, unread > maxUnreadBytes
+		state.Unread = queuedBytes(fd, unix.TIOCINQ)
+		state.Flooded = state.Unread > maxUnreadBytes
 	})
 	if err != nil { // closed by this side: no response can be sent
 		state.Closed = true
@@ -133,6 +133,17 @@
 	return state
 }
 
+// Unread returns the number of bytes that wait in a socket; 0 if that is unknown.
+func Unread(conn net.Conn) int {
+	raw, err := rawConn(conn)
+	if err != nil {
+		return 0
+	}
+	unread := 0
+	_ = raw.Control(func(fd uintptr) { unread = queuedBytes(fd, unix.TIOCINQ) }) // fails on a closed connection
+	return unread
+}
+
 // IsBroken reports whether a connection was reset, or closed in both directions, so that nothing can be sent on it.
 func IsBroken(conn net.Conn) bool {
 	raw, err := rawConn(conn)
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -116,11 +116,11 @@
 		want        socket.PeerState
 	}{
 		{"waits", "", false, socket.PeerState{}},
-		{"waits, bytes after the request", "GET /", false, socket.PeerState{HasUnread: true}},
+		{"waits, bytes after the request", "GET /", false, socket.PeerState{Unread: len("GET /")}},
 		{"closes", "", true, socket.PeerState{Closed: true}},
-		{"closes, bytes after the request", "GET /", true, socket.PeerState{Closed: true, HasUnread: true}},
-		{"floods", flood, false, socket.PeerState{Flooded: true, HasUnread: true}},
-		{"floods and closes", flood, true, socket.PeerState{Closed: true, Flooded: true, HasUnread: true}},
+		{"closes, bytes after the request", "GET /", true, socket.PeerState{Closed: true, Unread: len("GET /")}},
+		{"floods", flood, false, socket.PeerState{Flooded: true, Unread: len(flood)}},
+		{"floods and closes", flood, true, socket.PeerState{Closed: true, Flooded: true, Unread: len(flood)}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			local, peer := connect(t)
@@ -129,6 +129,9 @@
 				closeWrite(t, peer)
 			}
 			testutil.WaitFor(t, "the wanted state", func() bool { return socket.Peer(local) == tt.want })
+			if unread := socket.Unread(local); unread != tt.want.Unread {
+				t.Errorf("got %d unread bytes, want %d", unread, tt.want.Unread)
+			}
 		})
 	}
 }
