Answer the requests that have arrived behind another one before a connection is closed

Cause: the handler closed behind the first response of a shutdown, whether or not further requests had arrived.

Change: the connection is closed behind a response only if nothing has arrived behind the request.

--- a/internal/frontend/following.go
+++ b/internal/frontend/following.go
@@ -48,5 +48,8 @@
 	return nil
 }
 
+// isFollowed reports whether bytes have arrived behind the current request.
+func (c *connection) isFollowed() bool { return c.scanner.hasFollowing() || socket.HasUnread(c.Conn) }
+
 // peek implements peeker.
 func (c *connection) peek(buffer []byte) int { return socket.PeekBytes(c.Conn, buffer) }
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -96,12 +96,25 @@
 		h.handleError(w, r, err)
 		return
 	}
-	if h.shuttingDown.Load() || h.isNearLimit() { // in a shutdown, further requests belong to a new process
+	if h.mustClose(conn) {
 		w.Header().Set("Connection", "close")
 	}
 	writeResponse(w, response)
 }
 
+// mustClose reports whether a connection must be closed behind the response that is about to be written. In a shutdown,
+// further requests belong to a new process, but those that have arrived here are answered first. So are those of a few
+// in a row if slots are short; a client that sends more of them could keep its slot for good.
+func (h *handler) mustClose(conn *connection) bool {
+	switch {
+	case h.shuttingDown.Load():
+		return !conn.isFollowed()
+	case h.isNearLimit():
+		return conn.isPipelining() || !conn.isFollowed()
+	}
+	return false
+}
+
 // pauseRequest delays a request of a client that sends requests without waiting for responses. Otherwise few such
 // clients use up the CPU, and the requests of others, which need the network several times, wait for it each time.
 func pauseRequest(ctx context.Context) {
