Let a client send 64 KiB behind an open request

Cause: with more than 16 KiB unread behind an open request a client counted as gone, since a close behind that many bytes may not reach this machine.

Change: from 16 KiB on the system is asked to hold 128 KiB for the connection (EnsureReceiveBuffer, as for long bodies), and a client counts as gone from 64 KiB on, or if the system refuses. The limit moved from internal/socket to internal/frontend, with the other reasons why a request must not be forwarded.

--- a/internal/frontend/following.go
+++ b/internal/frontend/following.go
@@ -10,6 +10,16 @@
 // length of the request's body is too small, and what was read of it is only a part. Such a request must be neither
 // forwarded nor served. More bytes may arrive at any time, so that each step which depends on them asks anew.
 
+const (
+	// unassuredUnreadBytes is the number of unread bytes that the system holds on any connection, with a close behind
+	// them.
+	unassuredUnreadBytes = 16 << 10
+	// maxUnreadBytes is the number of bytes that may wait behind an open request.
+	maxUnreadBytes = 64 << 10
+	// receiveBufferBytes leaves room for what the client sends until the next look.
+	receiveBufferBytes = 2 * maxUnreadBytes
+)
+
 // The reasons why a complete request must not be forwarded or served, or not any more.
 var (
 	// errDisconnected: the client has closed its connection.
@@ -27,12 +37,21 @@
 	switch {
 	case peer.Closed:
 		return errDisconnected
-	case peer.Flooded:
+	case c.mayHideClose(peer.Unread):
 		return errTooMuchUnread
 	}
 	return c.validateUnread(peer.Unread)
 }
 
+// mayHideClose reports whether so many bytes wait in the socket that a close behind them might not reach this machine.
+// From unassuredUnreadBytes on it makes the system hold more.
+func (c *connection) mayHideClose(unread int) bool {
+	if unread <= unassuredUnreadBytes {
+		return false
+	}
+	return unread > maxUnreadBytes || socket.EnsureReceiveBuffer(c.Conn, receiveBufferBytes) != nil
+}
+
 // validateFollowing returns an error if the bytes that have arrived behind the current request start no other request.
 // It is safe for concurrent use.
 func (c *connection) validateFollowing() error { return c.validateUnread(c.examineUnread()) }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -21,10 +21,6 @@
 	ioctlGetInt = unix.IoctlGetInt
 )
 
-// maxUnreadBytes is the number of bytes that a peer may send after an open request before it is considered to be
-// flooding.
-const maxUnreadBytes = 16 << 10
-
 // ReceiveState is the state of a socket's receive side.
 type ReceiveState uint8
 
@@ -110,12 +106,12 @@
 
 // PeerState describes a peer that waits for a response.
 type PeerState struct {
-	Closed  bool // the peer has closed its sending side or the whole connection, or the connection has failed
-	Flooded bool // the peer has sent more than maxUnreadBytes after its request
-	Unread  int  // bytes after its request that wait in the socket
+	Closed bool // the peer has closed its sending side or the whole connection, or the connection has failed
+	Unread int  // bytes after its request that wait in the socket
 }
 
-// Peer returns the state of the peer. It also detects a close that follows unread bytes.
+// Peer returns the state of the peer. It also detects a close that follows unread bytes, as long as the system holds
+// all of these (EnsureReceiveBuffer).
 func Peer(conn net.Conn) PeerState {
 	raw, err := rawConn(conn)
 	if err != nil {
@@ -125,7 +121,6 @@
 	err = raw.Control(func(fd uintptr) {
 		state.Closed = isHungUp(fd)
 		state.Unread = queuedBytes(fd, unix.TIOCINQ)
-		state.Flooded = state.Unread > maxUnreadBytes
 	})
 	if err != nil { // closed by this side: no response can be sent
 		state.Closed = true
