Keep the call for a watch open when its response is late

Cause: a call without a response was given up after 2.5 s and begun anew, for ever.

Change: after 2.5 s a watch without a response is overdue. The next one is started as before, with the same delay, and the call stays open beside it for up to 6 s from its start; whichever is answered first becomes active and the others are stopped. No more calls are made than before, and at most two are open.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -29,7 +29,7 @@
 	cachedList         endpoint.List        // complete list from the configuration
 	autoWatch          bool                 // see Options.AutoWatch
 	idleTimeout        time.Duration        // maximum time without data between two lists of a watch
-	callTimeout        time.Duration        // timeout of a poll, and of a watch until its response
+	callTimeout        time.Duration        // timeout of a poll; a watch without a response is overdue then
 	listTimeout        *adaptiveListTimeout // timeout of each list of a watch
 	log                *slog.Logger
 	source             *source
--- a/internal/discovery/http.go
+++ b/internal/discovery/http.go
@@ -28,14 +28,14 @@
 
 // newHTTPClient returns a client without connection reuse, since net/http may resend a request on its own if a reused
 // connection fails. Its timeouts are constant: a shorter Options.CallTimeout applies through the request's context, and
-// a longer one does not extend the dial or the wait for the response header.
+// a longer one does not extend the dial or the wait for the response header beyond them.
 func newHTTPClient() *http.Client {
 	dialer := &socket.Dialer{Dialer: net.Dialer{Timeout: defaultCallTimeout}}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:           dialer.DialContext,
 		DisableKeepAlives:     true,
 		DisableCompression:    true,
-		ResponseHeaderTimeout: defaultCallTimeout,
+		ResponseHeaderTimeout: maxPropagationDelay,
 
 		MaxResponseHeaderBytes: maxResponseHeadSize,
 	}}
--- a/internal/discovery/options.go
+++ b/internal/discovery/options.go
@@ -32,5 +32,5 @@
 	SlowStart      SlowStart     // slow start of endpoints, used to estimate their start times
 
 	IdleTimeout time.Duration // maximum time without data on a watch; 0 means defaultIdleTimeout
-	CallTimeout time.Duration // timeout of a poll, and of a watch until its response; 0 means defaultCallTimeout
+	CallTimeout time.Duration // timeout of a poll, and until a watch is overdue; 0 means defaultCallTimeout
 }
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -17,6 +17,9 @@
 // A watch without a version becomes active when its complete list is received. It then replaces the previous active
 // watch, which is stopped.
 //
+// A pending watch whose response is late is overdue: another one is started, but its call stays open, since a slow
+// discovery service would never be heard otherwise. Whichever of the two is answered first becomes active.
+//
 // source is safe for concurrent use. The agent's event loop locks its mutex, which is therefore held only briefly and
 // never during I/O.
 type source struct {
@@ -25,6 +28,7 @@
 	version int64      // version of the last list from addr, or of the cached list; unknownVersion if there is none
 	active  *watch     // watch whose lists are applied; nil if none
 	pending *watch     // watch that will replace the active one; nil if none
+	overdue *watch     // watch whose response is late, and which becomes active if it comes; nil if none
 	backoff backoff    // delay between a failed watch and the next one
 }
 
@@ -80,8 +84,34 @@
 	return s.pending
 }
 
-// activateWatch activates w if it is pending and meets the condition for it (see source). It then stops the previous
-// active watch and resets the backoff. It reports whether w is the active watch now. All of that is done under one
+// markOverdue makes a pending watch the overdue one, and stops the one that was. It reports whether a new watch must be
+// started. If there is an active watch of the current address, none is needed, and w is stopped.
+func (s *source) markOverdue(w *watch) (needsNewWatch bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w != s.pending || w.hasResponse {
+		return false
+	}
+	s.pending = nil
+	if s.active != nil && s.active.addr == s.addr {
+		w.stop()
+		return false
+	}
+	if s.overdue != nil {
+		s.overdue.stop()
+	}
+	s.overdue = w
+	return true
+}
+
+// mayActivate reports whether w may become the active watch. An overdue one of an earlier address may not. The caller
+// holds s.mu.
+func (s *source) mayActivate(w *watch) bool {
+	return w == s.pending || w == s.overdue && w.addr == s.addr
+}
+
+// activateWatch activates w if it is pending or overdue and meets the condition for it (see source). It then stops all
+// other watches and resets the backoff. It reports whether w is the active watch now. All of that is done under one
 // lock, since another watch may replace w at any time.
 //
 // It is called when discovery has responded to w, and for each list that is received on w. complete is set if there is
@@ -89,19 +119,22 @@
 func (s *source) activateWatch(w *watch, complete bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if w == s.pending && (complete || w.since != unknownVersion) {
+	w.hasResponse = true
+	if s.mayActivate(w) && (complete || w.since != unknownVersion) {
 		s.backoff.reset()
-		if s.active != nil {
-			s.active.stop()
+		for _, other := range []*watch{s.active, s.pending, s.overdue} {
+			if other != nil && other != w {
+				other.stop()
+			}
 		}
-		s.active, s.pending = w, nil
+		s.active, s.pending, s.overdue = w, nil, nil
 	}
 	return w == s.active
 }
 
 // removeWatch removes a watch that failed and reports whether a new watch must be started. A new one is needed if w was
 // pending, even if there is an active watch, since that may be of an earlier address. It is not needed if w was active
-// and another watch is pending, or if w was already replaced.
+// and another watch is pending, or if w was overdue or already replaced.
 func (s *source) removeWatch(w *watch) (needsNewWatch bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -112,6 +145,8 @@
 	case s.active:
 		s.active = nil
 		return s.pending == nil
+	case s.overdue:
+		s.overdue = nil
 	}
 	return false
 }
@@ -120,12 +155,12 @@
 func (s *source) stopWatches() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, w := range []*watch{s.active, s.pending} {
+	for _, w := range []*watch{s.active, s.pending, s.overdue} {
 		if w != nil {
 			w.stop()
 		}
 	}
-	s.active, s.pending = nil, nil
+	s.active, s.pending, s.overdue = nil, nil, nil
 }
 
 // isWatched reports whether the current address has an active or pending watch. An active watch of an earlier address
--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -17,8 +17,12 @@
 	// defaultIdleTimeout is the time without data after which a watch is closed. Discovery sends an empty line every
 	// 2 s, and the absence of these lines is the only sign of a network partition.
 	defaultIdleTimeout = 2500 * time.Millisecond
-	// defaultCallTimeout is the timeout of a poll, and of a watch until its response.
+	// defaultCallTimeout is the timeout of a poll, and the time after which the next watch is started if one has no
+	// response.
 	defaultCallTimeout = 2500 * time.Millisecond
+	// lateTimeoutFactor is the time for which a watch waits for its response, as a multiple of the call timeout. A slow
+	// response may come as long as it is of use.
+	lateTimeoutFactor = float64(maxPropagationDelay) / float64(defaultCallTimeout)
 	// maxQueueTime is the time that a call may wait in discovery's queue before discovery refuses it.
 	maxQueueTime = 2 * time.Second
 	// maxPropagationDelay is the maximum time until this agent has received a change.
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -25,6 +25,8 @@
 	addr  string             // address of discovery, as host:port
 	since int64              // version to continue from; if unknownVersion, the first list must be complete
 	stop  context.CancelFunc // cancels the request
+
+	hasResponse bool // discovery has responded; protected by source.mu
 }
 
 func (w *watch) query() string {
@@ -34,13 +36,18 @@
 	return fmt.Sprintf("?follow=1&since=%d", w.since)
 }
 
+// lateTimeout is how long a watch waits for its response in all. After the call timeout it is overdue.
+func (c *Client) lateTimeout() time.Duration {
+	return time.Duration(lateTimeoutFactor * float64(c.callTimeout))
+}
+
 // runWatch sends the request of a watch and applies its lists until the watch ends, times out or receives a malformed
 // list. The error is never nil; it says why the watch ended.
 func (c *Client) runWatch(ctx context.Context, w *watch) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	// The timer limits the time until the response at first, and then the time without data between lists.
-	idleTimer := time.AfterFunc(c.callTimeout, func() { cancel(errWatchTimeout) })
+	idleTimer := time.AfterFunc(c.lateTimeout(), func() { cancel(errWatchTimeout) })
 	defer idleTimer.Stop()
 	body, err := c.get(ctx, w.addr, w.query())
 	if err != nil {
