Send bursts of requests in the soak

Cause: no client of the soak sent whole requests behind an open one, so that it could not show that a planned restart or a shortage of slots drops them.

Change: two clients send two to six requests at once and need all answers in turn, within each request's time.

--- a/cmd/ashshunt/soak_followed_test.go
+++ b/cmd/ashshunt/soak_followed_test.go
@@ -15,6 +15,9 @@
 const (
 	soakCutClients   = 2
 	soakAheadClients = 2
+	soakBurstClients = 2
+	// maxBurst is the maximum number of requests that a client sends at once.
+	maxBurst = 6
 	// maxRestDelay is the maximum time between a part of a request and its rest.
 	maxRestDelay = 50 * time.Millisecond
 	// maxAheadDelay is the maximum time between a request and the first bytes of the next one.
@@ -168,6 +171,64 @@
 	c.waitForResponse(second)
 }
 
+// burstClient sends several requests at once, and reads the responses in turn.
+type burstClient struct{ *soakClient }
+
+// run sends requests until the run is stopped.
+func (c burstClient) run() {
+	defer c.disconnect()
+	for c.waitForNext() {
+		if c.connect() {
+			c.sendBurst()
+		}
+	}
+}
+
+// sendBurst sends requests at once. All of them need their responses: they have arrived before any of them is answered.
+func (c burstClient) sendBurst() {
+	verifier := c.soak.verifier
+	requests := make([]*soakRequest, 2+c.soak.rng.drawInt(maxBurst-1))
+	var text strings.Builder
+	for i := range requests {
+		request, class := c.drawRequest()
+		request.firstByteAt = time.Now()
+		requests[i] = request
+		text.WriteString(request.text(class))
+		verifier.recordSendStart(request)
+	}
+	c.connUsed = true
+	if _, err := io.WriteString(c.conn, text.String()); err != nil {
+		for _, request := range requests {
+			verifier.recordSendFailure(request, false)
+		}
+		c.disconnect()
+		return
+	}
+	requests[0].mayBeShutUnread = c.mayBeShutUnread(requests[0])
+	for _, request := range requests {
+		request.mayBeShutUnread = requests[0].mayBeShutUnread
+		verifier.recordSent(request)
+	}
+	for i, request := range requests {
+		if c.conn == nil {
+			verifier.recordUnansweredBurst(requests[0], requests[i:])
+			return
+		}
+		c.waitForResponse(request)
+	}
+}
+
+// recordUnansweredBurst records that the connection of a burst ended before the responses to some of its requests.
+func (v *soakVerifier) recordUnansweredBurst(first *soakRequest, unanswered []*soakRequest) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, r := range unanswered {
+		r.closed, r.closedAt = true, time.Now()
+		// If the close crossed the first request, it crossed all.
+		r.reusedConnection = first.reusedConnection && first.closed
+	}
+}
+
 // recordRest records that the rest of a cut request has arrived at the agent's machine.
 func (v *soakVerifier) recordRest(r *soakRequest) {
 	v.mu.Lock()
--- a/cmd/ashshunt/soak_test.go
+++ b/cmd/ashshunt/soak_test.go
@@ -213,6 +213,9 @@
 	for range soakAheadClients {
 		workers.Go(func() { aheadClient{newSoakClient(s)}.run() })
 	}
+	for range soakBurstClients {
+		workers.Go(func() { burstClient{newSoakClient(s)}.run() })
+	}
 	if s.idleClients {
 		for range soakIdleClients {
 			workers.Go(s.runIdleClient)
