Let no close for another reason hide that an endpoint has ended a connection

Cause: an idle connection that the agent closed as excess, as presumed dead, at the connection limit or on request was not examined. If its endpoint had reset it before, the loss was never recorded, and a keyed repeat could go to another process at the address.

Change: such connections are examined before they are closed. A list that makes connections obsolete explains their end itself.

--- a/internal/upstream/losses_test.go
+++ b/internal/upstream/losses_test.go
@@ -27,6 +27,7 @@
 	}{
 		{"idle connection, found by the attempt", resetIdle},
 		{"idle connection, found by a sweep", resetIdleUntilSweep},
+		{"idle connection, closed for another reason", resetIdleAndClose},
 		{"refused dial", refuseDial},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -67,6 +68,13 @@
 	}
 }
 
+// resetIdleAndClose also closes the connection, as if it were presumed dead.
+func resetIdleAndClose(t *testing.T, client *Client, server *testutil.Server, _ <-chan balancer.Event) {
+	t.Helper()
+	server.Reset(t)
+	client.CloseIdle("s0")
+}
+
 // refuseDial leaves no connection that could be lost, and lets a dial fail.
 func refuseDial(t *testing.T, client *Client, server *testutil.Server, _ <-chan balancer.Event) {
 	t.Helper()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -136,7 +136,7 @@
 // returns errPoolExhausted if none is idle.
 func (p *pool) reserve(endpointID string) (*endpointGroup, error) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndReport()
 	if p.maxConnections > 0 && p.openCount >= p.maxConnections && !p.evictIdleLocked() {
 		return nil, errPoolExhausted
 	}
@@ -164,7 +164,8 @@
 	if oldest == nil {
 		return false
 	}
-	p.closeLocked(oldest.group.popOldest(), closeConnectionLimit)
+	conn := oldest.group.popOldest()
+	p.closeLocked(conn, closeReasonOf(conn, closeConnectionLimit))
 	return true
 }
 
@@ -269,8 +270,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if group := p.groups[endpointID]; group != nil {
+		group.draining = true // the list explains what has happened to the connections
 		p.closeIdleSinceLocked(group, time.Now(), closeObsolete)
-		group.draining = true
 		delete(p.groups, endpointID)
 	}
 }
@@ -284,7 +285,7 @@
 // closeIdleSince closes the connections to an endpoint that became idle at or before cutoff.
 func (p *pool) closeIdleSince(endpointID string, cutoff time.Time, reason closeReason) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlockAndReport()
 	p.closeIdleSinceLocked(p.groups[endpointID], cutoff, reason)
 }
 
@@ -292,8 +293,18 @@
 // caller holds p.mu.
 func (p *pool) closeIdleSinceLocked(group *endpointGroup, cutoff time.Time, reason closeReason) {
 	for group != nil && len(group.idle) > 0 && !group.idle[0].idleSince.After(cutoff) {
-		p.closeLocked(group.popOldest(), reason)
+		conn := group.popOldest()
+		p.closeLocked(conn, closeReasonOf(conn, reason))
+	}
+}
+
+// closeReasonOf returns closeEndedByEndpoint for an idle connection that its endpoint has ended, and reason for others:
+// a close for another reason must not hide that the endpoint's process may have ended.
+func closeReasonOf(conn *connection, reason closeReason) closeReason {
+	if socket.Peek(conn.netConn) == socket.Closed {
+		return closeEndedByEndpoint
 	}
+	return reason
 }
 
 // openConnections returns the number of connections that are open or being dialed.
--- a/internal/upstream/sweep.go
+++ b/internal/upstream/sweep.go
@@ -80,8 +80,10 @@
 	kept := group.idle[:0]
 	for i, conn := range group.idle {
 		isExcess := i < len(group.idle)-1 && now.Sub(conn.idleSince) >= excessIdleTimeout
-		reason := closeExcess
-		if !isExcess {
+		reason := closeReason("")
+		if isExcess {
+			reason = closeReasonOf(conn, closeExcess)
+		} else {
 			reason = p.sweepConnectionLocked(conn, now)
 		}
 		if reason != "" {
