--- a/balancer/idempotency.go
+++ b/balancer/idempotency.go
@@ -52,7 +52,8 @@
 
 // isBoundToScope reports whether the next attempt of r is a repeat that only a part of the endpoints drops.
 func (r *request) isBoundToScope() bool {
-	return r.class.Idempotency == IdempotentWithKey && r.mayHaveRunCount > 0 && r.class.DedupScope != DedupEverywhere
+	isRepeat := r.mayHaveRunCount > 0
+	return isRepeat && r.class.Idempotency == IdempotentWithKey && r.class.DedupScope != DedupEverywhere
 }
 
 // isInDedupScope reports whether an endpoint drops a repeat of the first attempt that may have run.
