Serve twins of the last changes with one piece of code each

PeerState and QueueState had become the same two values, two functions bounded the system's time of receipt, two loops stopped watches, three clients of the soak had the same loop, and requestScanner.add was called by tests alone.

Change: socket.Queued is gone; its callers use Peer, or Unread where they want the number alone, which saves a poll. receivedNotBefore, source.stopAllBut and soakClient.runEach serve the others, and add lies in the test file. No assertion changed; TestQueued asks Peer.

--- a/cmd/ashshunt/soak_client_test.go
+++ b/cmd/ashshunt/soak_client_test.go
@@ -56,15 +56,20 @@
 
 // run sends requests until the run is stopped.
 func (c *soakClient) run() {
+	c.runEach(func() { c.send(c.drawRequest()) })
+}
+
+// runEach calls send on an open connection, with a pause before each call, until the run is stopped.
+func (c *soakClient) runEach(send func()) {
+	defer c.disconnect()
 	for {
 		select {
 		case <-c.soak.stopped:
-			c.disconnect()
 			return
 		case <-time.After(c.drawPause()):
 		}
 		if c.connect() {
-			c.send(c.drawRequest())
+			send()
 		}
 	}
 }
--- a/cmd/ashshunt/soak_followed_test.go
+++ b/cmd/ashshunt/soak_followed_test.go
@@ -29,26 +29,6 @@
 // cutClient sends requests whose length is too small, each with the rest in a write of its own.
 type cutClient struct{ *soakClient }
 
-// run sends requests until the run is stopped.
-func (c cutClient) run() {
-	defer c.disconnect()
-	for c.waitForNext() {
-		if c.connect() {
-			c.sendCut()
-		}
-	}
-}
-
-// waitForNext pauses between two requests. It returns false if the run is stopped.
-func (c *soakClient) waitForNext() bool {
-	select {
-	case <-c.soak.stopped:
-		return false
-	case <-time.After(c.drawPause()):
-		return true
-	}
-}
-
 // drawFollowable draws a request that may have a body.
 func (c *soakClient) drawFollowable() (*soakRequest, soakClass) {
 	for {
@@ -118,16 +98,6 @@
 // aheadClient sends the first bytes of each second request before it reads the response to the first one.
 type aheadClient struct{ *soakClient }
 
-// run sends requests until the run is stopped.
-func (c aheadClient) run() {
-	defer c.disconnect()
-	for c.waitForNext() {
-		if c.connect() {
-			c.sendPair()
-		}
-	}
-}
-
 // sendPair sends two requests on the connection. It gives up the second one if the agent closes the connection before
 // it is complete.
 func (c aheadClient) sendPair() {
@@ -174,16 +144,6 @@
 // burstClient sends several requests at once, and reads the responses in turn.
 type burstClient struct{ *soakClient }
 
-// run sends requests until the run is stopped.
-func (c burstClient) run() {
-	defer c.disconnect()
-	for c.waitForNext() {
-		if c.connect() {
-			c.sendBurst()
-		}
-	}
-}
-
 // sendBurst sends requests at once. All of them need their responses: they have arrived before any of them is answered.
 func (c burstClient) sendBurst() {
 	verifier := c.soak.verifier
--- a/cmd/ashshunt/soak_test.go
+++ b/cmd/ashshunt/soak_test.go
@@ -208,13 +208,22 @@
 		workers.Go(func() { newSoakClient(s).run() })
 	}
 	for range soakCutClients {
-		workers.Go(func() { cutClient{newSoakClient(s)}.run() })
+		workers.Go(func() {
+			client := cutClient{newSoakClient(s)}
+			client.runEach(client.sendCut)
+		})
 	}
 	for range soakAheadClients {
-		workers.Go(func() { aheadClient{newSoakClient(s)}.run() })
+		workers.Go(func() {
+			client := aheadClient{newSoakClient(s)}
+			client.runEach(client.sendPair)
+		})
 	}
 	for range soakBurstClients {
-		workers.Go(func() { burstClient{newSoakClient(s)}.run() })
+		workers.Go(func() {
+			client := burstClient{newSoakClient(s)}
+			client.runEach(client.sendBurst)
+		})
 	}
 	if s.idleClients {
 		for range soakIdleClients {
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -122,11 +122,7 @@
 	w.hasResponse = true
 	if s.mayActivate(w) && (complete || w.since != unknownVersion) {
 		s.backoff.reset()
-		for _, other := range []*watch{s.active, s.pending, s.overdue} {
-			if other != nil && other != w {
-				other.stop()
-			}
-		}
+		s.stopAllBut(w)
 		s.active, s.pending, s.overdue = w, nil, nil
 	}
 	return w == s.active
@@ -155,12 +151,17 @@
 func (s *source) stopWatches() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stopAllBut(nil)
+	s.active, s.pending, s.overdue = nil, nil, nil
+}
+
+// stopAllBut stops all watches except for one, which may be nil. The caller holds s.mu.
+func (s *source) stopAllBut(kept *watch) {
 	for _, w := range []*watch{s.active, s.pending, s.overdue} {
-		if w != nil {
+		if w != nil && w != kept {
 			w.stop()
 		}
 	}
-	s.active, s.pending, s.overdue = nil, nil, nil
 }
 
 // isWatched reports whether the current address has an active or pending watch. An active watch of an earlier address
--- a/internal/frontend/arrivals.go
+++ b/internal/frontend/arrivals.go
@@ -96,11 +96,7 @@
 // have been held up.
 func (c *connection) lastReceivedAt(now time.Time) time.Time {
 	headAt, _ := c.arrivalTimes()
-	receivedAt := now.Add(-socket.SinceReceived(c.Conn))
-	if receivedAt.Before(headAt) {
-		return headAt
-	}
-	return receivedAt
+	return c.receivedNotBefore(headAt, now)
 }
 
 // receivedAt returns the time at which the head that has just been read was received. The first one of a connection
@@ -110,11 +106,17 @@
 	if c.backlogSince.IsZero() {
 		return now
 	}
+	receivedAt := c.receivedNotBefore(c.backlogSince, now)
+	c.backlogSince = time.Time{}
+	return receivedAt
+}
+
+// receivedNotBefore returns the system's time of the last received bytes, or earliest if that is later.
+func (c *connection) receivedNotBefore(earliest, now time.Time) time.Time {
 	receivedAt := now.Add(-socket.SinceReceived(c.Conn))
-	if receivedAt.Before(c.backlogSince) {
-		receivedAt = c.backlogSince
+	if receivedAt.Before(earliest) {
+		return earliest
 	}
-	c.backlogSince = time.Time{}
 	return receivedAt
 }
 
--- a/internal/frontend/bodywait.go
+++ b/internal/frontend/bodywait.go
@@ -22,18 +22,18 @@
 	}
 	defer c.endBodyWait()
 	for queued := int64(-1); c.isReading(); {
-		state := socket.Queued(c.Conn)
-		switch progress := int64(state.Bytes) - queued; {
-		case int64(state.Bytes) >= remaining:
+		state := socket.Peer(c.Conn)
+		switch progress := int64(state.Unread) - queued; {
+		case int64(state.Unread) >= remaining:
 			c.recordBody(c.lastReceivedAt(time.Now()))
 			return nil
 		case state.Closed:
 			return net.ErrClosed
-		case state.Bytes == 0 && socket.HasUnread(c.Conn): // the system does not say how many
+		case state.Unread == 0 && socket.HasUnread(c.Conn): // the system does not say how many
 			return nil
 		case progress > 0:
-			c.recordQueued(state.Bytes, int(progress))
-			queued = int64(state.Bytes)
+			c.recordQueued(state.Unread, int(progress))
+			queued = int64(state.Unread)
 		case isLong && memory.TryGrow(membudget.Bodies, length):
 			c.recordBodyMemory(length)
 			return nil
@@ -41,7 +41,7 @@
 			return nil
 		}
 		c.startBodyWait(time.Now().Add(bodyStallTimeout))
-		socket.WaitForQueued(c.Conn, state.Bytes)
+		socket.WaitForQueued(c.Conn, state.Unread)
 	}
 	return net.ErrClosed
 }
--- a/internal/frontend/ends_test.go
+++ b/internal/frontend/ends_test.go
@@ -84,7 +84,7 @@
 func receiveBytes(t *testing.T, c *connection, client net.Conn, text string) {
 	t.Helper()
 	testutil.Write(t, client, text)
-	testutil.WaitFor(t, "the bytes", func() bool { return socket.Queued(c.Conn).Bytes == len(text) })
+	testutil.WaitFor(t, "the bytes", func() bool { return socket.Unread(c.Conn) == len(text) })
 }
 
 // A request that crosses the close of an idle connection must not be read: its client sends it again only then.
--- a/internal/frontend/listener_test.go
+++ b/internal/frontend/listener_test.go
@@ -179,7 +179,7 @@
 	listener := newTestListener(t)
 	client, conn := dialAndAccept(t, listener)
 	testutil.Write(t, client, head+head)
-	testutil.WaitFor(t, "both requests", func() bool { return socket.Queued(conn.Conn).Bytes == 2*len(head) })
+	testutil.WaitFor(t, "both requests", func() bool { return socket.Unread(conn.Conn) == 2*len(head) })
 	if n, err := conn.Read(make([]byte, 100)); n != 2*len(head) || err != nil {
 		t.Fatalf("got %d bytes and error %v, want both requests", n, err)
 	}
--- a/internal/frontend/log.go
+++ b/internal/frontend/log.go
@@ -104,7 +104,7 @@
 	}
 	age, readBytes := c.progress()
 	t.log.Info(telemetry.MsgIncompleteRejected, "client", c.RemoteAddr().String(), "status", status,
-		"reason", string(reason), "age", age, "read", readBytes, "unread", socket.Queued(c.Conn).Bytes,
+		"reason", string(reason), "age", age, "read", readBytes, "unread", socket.Unread(c.Conn),
 		telemetry.Dropped(dropped))
 }
 
@@ -131,7 +131,7 @@
 	}
 	attributes := []any{
 		telemetry.Request(request.id), "client", c.RemoteAddr().String(), "reason", string(reason), "age", request.age,
-		"read", request.readBytes, "unread", socket.Queued(c.Conn).Bytes, telemetry.Err(request.err),
+		"read", request.readBytes, "unread", socket.Unread(c.Conn), telemetry.Err(request.err),
 		telemetry.Dropped(dropped),
 	}
 	if reason == closeUnknown {
--- a/internal/frontend/requestprogress.go
+++ b/internal/frontend/requestprogress.go
@@ -44,7 +44,7 @@
 // hasNewBytes reports whether bytes of the request have arrived that the agent has not noticed.
 func (c *connection) hasNewBytes() bool {
 	if c.state.request.isQueued {
-		return socket.Queued(c.Conn).Bytes > c.state.request.queuedBytes
+		return socket.Unread(c.Conn) > c.state.request.queuedBytes
 	}
 	return socket.HasUnread(c.Conn)
 }
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -96,14 +96,7 @@
 	s.addLocked(p)
 }
 
-// add adds bytes that were read from the connection.
-func (s *requestScanner) add(p []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.Receive(p)
-}
-
-// addLocked is add for callers that hold the mutex.
+// addLocked adds bytes that were read from the connection. The caller holds the mutex.
 func (s *requestScanner) addLocked(p []byte) {
 	for len(p) > 0 {
 		switch s.state {
--- a/internal/frontend/requestscanner_test.go
+++ b/internal/frontend/requestscanner_test.go
@@ -11,6 +11,13 @@
 	"ashshunt/internal/testutil"
 )
 
+// add adds bytes as if they were read from the connection.
+func (s *requestScanner) add(p []byte) {
+	s.Lock()
+	defer s.Unlock()
+	s.Receive(p)
+}
+
 // The scanner must find the ends of requests however they are split into reads.
 func TestRequestScannerFindsEnds(t *testing.T) {
 	heads := []string{
--- a/internal/socket/queue_test.go
+++ b/internal/socket/queue_test.go
@@ -14,23 +14,23 @@
 // A connection reports the bytes that wait, and that no more will come.
 func TestQueued(t *testing.T) {
 	local, peer := connect(t)
-	if state := socket.Queued(local); state.Bytes != 0 || state.Closed {
+	if state := socket.Peer(local); state.Unread != 0 || state.Closed {
 		t.Errorf("before any byte: got %+v, want none on an open connection", state)
 	}
 	send(t, peer, "four")
 	socket.WaitForQueued(local, 3)
-	if state := socket.Queued(local); state.Bytes != 4 || state.Closed {
+	if state := socket.Peer(local); state.Unread != 4 || state.Closed {
 		t.Errorf("got %+v, want 4 bytes on an open connection", state)
 	}
 	closeWrite(t, peer)
 	socket.WaitForQueued(local, 4) // returns since no more bytes will come
-	if state := socket.Queued(local); state.Bytes != 4 || !state.Closed {
+	if state := socket.Peer(local); state.Unread != 4 || !state.Closed {
 		t.Errorf("after the close: got %+v, want 4 bytes and closed", state)
 	}
 	if err := local.Close(); err != nil {
 		t.Fatal(err)
 	}
-	if state := socket.Queued(local); !state.Closed {
+	if state := socket.Peer(local); !state.Closed {
 		t.Errorf("after the close of this side: got %+v, want closed", state)
 	}
 }
@@ -55,7 +55,7 @@
 		t.Fatal(err)
 	}
 	go func() { _, _ = peer.Write([]byte(strings.Repeat("x", size))) }() // a failure shows as missing bytes
-	testutil.WaitFor(t, "the whole body", func() bool { return socket.Queued(local).Bytes == size })
+	testutil.WaitFor(t, "the whole body", func() bool { return socket.Unread(local) == size })
 	if n, err := local.Read(make([]byte, size)); n != size || err != nil {
 		t.Fatalf("got %d bytes and error %v, want %d", n, err, size)
 	}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -104,7 +104,7 @@
 	return raw.Read(func(fd uintptr) bool { return receiveStateOf(peekBytes(fd, buffer[:])) != Empty })
 }
 
-// PeerState describes a peer that waits for a response.
+// PeerState describes a peer that sends a request or waits for its response.
 type PeerState struct {
 	Closed bool // the peer has closed its sending side or the whole connection, or the connection has failed
 	Unread int  // bytes after its request that wait in the socket
@@ -119,6 +119,7 @@
 	}
 	var state PeerState
 	err = raw.Control(func(fd uintptr) {
+		// In this order no byte is missed: none arrives after the close.
 		state.Closed = isHungUp(fd)
 		state.Unread = queuedBytes(fd, unix.TIOCINQ)
 	})
@@ -178,27 +179,6 @@
 	return int(info.Unacked) // of a listener: the length of the accept queue
 }
 
-// QueueState is the state of the received bytes of a socket that were not read.
-type QueueState struct {
-	Bytes  int
-	Closed bool // no more bytes will arrive
-}
-
-// Queued returns the state of the received bytes of a connection that were not read.
-func Queued(conn net.Conn) QueueState {
-	raw, err := rawConn(conn)
-	if err != nil {
-		return QueueState{Closed: true}
-	}
-	state := QueueState{Closed: true}
-	_ = raw.Control(func(fd uintptr) { // fails on a closed connection
-		// In this order no byte is missed: none arrives after the close.
-		state.Closed = isHungUp(fd)
-		state.Bytes = queuedBytes(fd, unix.TIOCINQ)
-	})
-	return state
-}
-
 // WaitForQueued blocks until more than the given number of bytes wait in a socket, the peer has closed its side, or the
 // read deadline has passed.
 func WaitForQueued(conn net.Conn, moreThan int) {
